--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,16 @@
+//! Every format that rushwalk reads or writes.
+//!
+//! The platform's protocols use names of their own; they appear in this crate
+//! only, as serde renames. Everything here is plain data that a client of the
+//! service can use as well.
+
+pub mod cloud;
+pub mod jobs;
+pub mod mesh;
+pub mod records;
+pub mod settings;
+pub mod state;
+pub mod worker;
+
+/// Largest request body that any interface accepts.
+pub const MAX_BODY: usize = 64 * 1024;
--- /dev/null
+++ b/crates/wire/src/mesh.rs
@@ -0,0 +1,42 @@
+//! What controllers tell each other: CBOR over HTTP. Nothing relies on it.
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+/// One controller's condition, exchanged about once a second.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct Hello {
+    pub member: String,
+    /// Milliseconds since the state service last answered this node.
+    pub state_age_ms: u64,
+    /// The newest revision that this node has seen.
+    pub revision: u64,
+}
+
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut out = Vec::new();
+    // Writing to memory fails only for types CBOR cannot hold; ours it can.
+    let _ = ciborium::into_writer(value, &mut out);
+    out
+}
+
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    // A bounded depth: a peer's nonsense must not exhaust the stack.
+    ciborium::de::from_reader_with_recursion_limit(bytes, 32).ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn garbage_is_no_message() {
+        let hello = Hello {
+            member: "walker-0".into(),
+            state_age_ms: 3,
+            revision: 9,
+        };
+        assert_eq!(decode(&encode(&hello)), Some(hello));
+        assert_eq!(decode::<Hello>(&[0xff, 0x00, 0x9f]), None);
+        assert_eq!(decode::<Hello>(&[0x9f; 4096]), None);
+    }
+}
