--- /dev/null
+++ b/crates/clients/src/http.rs
@@ -0,0 +1,156 @@
+//! HTTP/1.1 with kept connections, one request at a time on each.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::de::DeserializeOwned;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// Nothing was sent: the other side can't have acted.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// Sent, but unanswered: the other side may have acted, or may still act.
+    #[error("no answer: {0}")]
+    Unknown(String),
+    /// Answered with this status, and so not carried out.
+    #[error("status {0}")]
+    Status(u16),
+}
+
+impl Error {
+    pub fn status(&self) -> Option<u16> {
+        match self {
+            Error::Status(s) => Some(*s),
+            _ => None,
+        }
+    }
+}
+
+#[derive(Clone, Default)]
+pub struct Http {
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>>,
+}
+
+/// Idle connections kept for one address; more would only hold sockets.
+const IDLE_EACH: usize = 8;
+/// Answers larger than this are dropped rather than held in memory.
+const MAX_ANSWER: usize = 64 << 20;
+
+impl Http {
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let deadline = tokio::time::Instant::now() + timeout;
+        let mut sender = match self.take(address) {
+            Some(sender) => sender,
+            None => tokio::time::timeout_at(deadline, connect(address))
+                .await
+                .map_err(|_| Error::NotSent("connecting timed out".into()))??,
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", address.to_string())
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|e| Error::NotSent(e.to_string()))?;
+        let exchange = async {
+            let response = sender.send_request(request).await?;
+            let status = response.status();
+            let body = http_body_util::Limited::new(response.into_body(), MAX_ANSWER);
+            let body = body.collect().await.map(|b| b.to_bytes());
+            Ok::<_, hyper::Error>((status, body, sender))
+        };
+        match tokio::time::timeout_at(deadline, exchange).await {
+            Err(_) => Err(Error::Unknown("timed out".into())),
+            Ok(Err(e)) => Err(Error::Unknown(e.to_string())),
+            Ok(Ok((status, body, sender))) => {
+                let body = body.map_err(|e| Error::Unknown(e.to_string()))?;
+                self.put(address, sender);
+                Ok((status, body))
+            }
+        }
+    }
+
+    /// A call whose answer is JSON with status 200.
+    pub async fn json<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<T, Error> {
+        let (status, body) = self.call(address, method, path, body, timeout).await?;
+        if status != StatusCode::OK {
+            return Err(Error::Status(status.as_u16()));
+        }
+        serde_json::from_slice(&body).map_err(|e| Error::Unknown(e.to_string()))
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let list = idle.get_mut(&address)?;
+        while let Some(sender) = list.pop() {
+            if sender.is_ready() && !sender.is_closed() {
+                return Some(sender);
+            }
+        }
+        idle.remove(&address);
+        None
+    }
+
+    fn put(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>) {
+        if sender.is_closed() {
+            return;
+        }
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let list = idle.entry(address).or_default();
+        list.retain(|s| !s.is_closed());
+        if list.len() < IDLE_EACH {
+            list.push(sender);
+        }
+    }
+
+    /// Drops kept connections to an address that may be dead.
+    pub fn forget(&self, address: SocketAddr) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.remove(&address);
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, Error> {
+    let failed = |e: &dyn std::fmt::Display| Error::NotSent(e.to_string());
+    let stream = TcpStream::connect(address).await.map_err(|e| failed(&e))?;
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) = handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| failed(&e))?;
+    tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+/// Reads an address that another program gave; nonsense is no address.
+pub fn address(text: &str) -> Result<SocketAddr, Error> {
+    text.parse()
+        .map_err(|_| Error::NotSent(format!("{text:?} is not IP:port")))
+}
+
+pub fn body(value: &impl serde::Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).unwrap_or_default()
+}
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -1,1 +1,10 @@
+//! Clients of the services around rushwalk: state, cloud, workers, mesh.
 
+pub mod budget;
+pub mod cloud;
+pub mod http;
+pub mod mesh;
+pub mod state;
+pub mod worker;
+
+pub use http::{Error, Http};
--- /dev/null
+++ b/crates/plan/src/amount.rs
@@ -0,0 +1,82 @@
+//! Amounts of a machine's resources.
+
+use rushwalk_wire::{cloud::MachineType, jobs::JobSpec};
+use std::ops::{Add, Sub};
+
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Amount {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+/// Sums of decimal amounts miss by a little; this much is forgiven.
+const SLACK: f64 = 1e-6;
+
+impl Amount {
+    pub fn of_task(spec: &JobSpec) -> Amount {
+        Amount {
+            cpus: spec.cpus,
+            gpus: spec.gpus,
+            memory_gb: spec.memory_gb,
+        }
+    }
+
+    pub fn of_type(kind: &MachineType) -> Amount {
+        Amount {
+            cpus: kind.cpus,
+            gpus: kind.gpus,
+            memory_gb: kind.memory_gb,
+        }
+    }
+
+    pub fn fits(&self, room: &Amount) -> bool {
+        self.cpus <= room.cpus + SLACK
+            && self.gpus <= room.gpus + SLACK
+            && self.memory_gb <= room.memory_gb + SLACK
+    }
+
+    /// The largest share that this takes of any resource of `whole`.
+    pub fn share_of(&self, whole: &Amount) -> f64 {
+        [
+            (self.cpus, whole.cpus),
+            (self.gpus, whole.gpus),
+            (self.memory_gb, whole.memory_gb),
+        ]
+        .into_iter()
+        .filter(|(part, _)| *part > 0.0)
+        .map(|(part, whole)| part / whole.max(SLACK))
+        .fold(0.0, f64::max)
+    }
+
+    /// How many of this fit into `room`, at most `most`.
+    pub fn times_in(&self, room: &Amount, most: u32) -> u32 {
+        let share = self.share_of(room);
+        match share > 0.0 {
+            true => ((1.0 / share + SLACK) as u32).min(most),
+            false => most,
+        }
+    }
+}
+
+impl Add for Amount {
+    type Output = Amount;
+    fn add(self, other: Amount) -> Amount {
+        Amount {
+            cpus: self.cpus + other.cpus,
+            gpus: self.gpus + other.gpus,
+            memory_gb: self.memory_gb + other.memory_gb,
+        }
+    }
+}
+
+impl Sub for Amount {
+    type Output = Amount;
+    fn sub(self, other: Amount) -> Amount {
+        Amount {
+            cpus: self.cpus - other.cpus,
+            gpus: self.gpus - other.gpus,
+            memory_gb: self.memory_gb - other.memory_gb,
+        }
+    }
+}
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -1,1 +1,10 @@
+//! The decisions, as plain functions: no I/O, time is an argument.
 
+pub mod amount;
+pub mod fleet;
+pub mod predict;
+pub mod quota;
+pub mod round;
+pub mod slot;
+
+pub use amount::Amount;
--- /dev/null
+++ b/crates/plan/src/quota.rs
@@ -0,0 +1,100 @@
+//! Teams' limits and guarantees, and where a job's tasks may be.
+
+use crate::Amount;
+use rushwalk_wire::jobs::JobSpec;
+use rushwalk_wire::settings::Team;
+use std::collections::HashMap;
+
+/// What teams use: tasks count until they are surely gone.
+#[derive(Debug, Clone, Default)]
+pub struct Usage(HashMap<String, Amount>);
+
+impl Usage {
+    pub fn add(&mut self, team: &str, amount: Amount) {
+        let used = self.0.entry(team.to_string()).or_default();
+        *used = *used + amount;
+    }
+
+    pub fn of(&self, team: &str) -> Amount {
+        self.0.get(team).copied().unwrap_or_default()
+    }
+
+    /// Whether `amount` more stays within the team's limit.
+    pub fn allows(&self, team: &Team, amount: Amount) -> bool {
+        within(self.of(&team.name) + amount, team.cpus_max, team.gpus_max)
+    }
+
+    /// Whether `amount` more stays within what the team is guaranteed.
+    pub fn guaranteed(&self, team: &Team, amount: Amount) -> bool {
+        let used = self.of(&team.name) + amount;
+        (team.cpus > 0.0 || team.gpus > 0.0) && within(used, team.cpus, team.gpus)
+    }
+}
+
+fn within(used: Amount, cpus: f64, gpus: f64) -> bool {
+    let ok = |used: f64, limit: f64| limit <= 0.0 || used <= limit + 1e-6;
+    ok(used.cpus, cpus) && ok(used.gpus, gpus)
+}
+
+/// What can never run is refused for good; `Err` says why.
+pub fn can_ever_run(
+    spec: &JobSpec,
+    teams: &[Team],
+    types: &[rushwalk_wire::cloud::MachineType],
+    zones: &[String],
+) -> Result<(), String> {
+    let Some(team) = teams.iter().find(|t| t.name == spec.team) else {
+        return Err(format!("unknown team {}", spec.team));
+    };
+    if let Some(zone) = &spec.zone
+        && !zones.contains(zone)
+    {
+        return Err(format!("unknown zone {zone}"));
+    }
+    let amount = Amount::of_task(spec);
+    let fits = types.iter().any(|t| {
+        spec.types
+            .as_ref()
+            .is_none_or(|names| names.contains(&t.name))
+            && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+            && amount.fits(&Amount::of_type(t))
+    });
+    if !fits {
+        return Err("a task fits no allowed machine type".into());
+    }
+    let n = match spec.shape {
+        rushwalk_wire::jobs::Shape::Array => 1.0,
+        _ => f64::from(spec.tasks),
+    };
+    if !within(
+        Amount {
+            cpus: amount.cpus * n,
+            gpus: amount.gpus * n,
+            memory_gb: 0.0,
+        },
+        team.cpus_max,
+        team.gpus_max,
+    ) {
+        return Err(format!("more than the limit of team {}", team.name));
+    }
+    Ok(())
+}
+
+/// The zones in which a job's tasks are, lingering ones included.
+#[derive(Debug, Clone, Default)]
+pub struct Places(pub HashMap<String, u32>);
+
+impl Places {
+    pub fn add(&mut self, zone: &str) {
+        *self.0.entry(zone.to_string()).or_default() += 1;
+    }
+
+    /// Whether one more task may go to `zone`.
+    pub fn allows(&self, spec: &JobSpec, zone: &str) -> bool {
+        if spec.one_zone && self.0.keys().any(|z| z != zone) {
+            return false;
+        }
+        let there = self.0.get(zone).copied().unwrap_or(0);
+        !spec.spread || there < spec.tasks.div_ceil(2)
+    }
+}
--- /dev/null
+++ b/crates/rushwalk/src/api.rs
@@ -0,0 +1,237 @@
+//! The users' and workers' interface on the public address.
+
+use crate::holder::{self, Reply};
+use crate::node::{For, Node, now_ms};
+use poem::http::StatusCode;
+use poem::web::{Data, Path};
+use poem::{Body, Endpoint, EndpointExt, IntoResponse, Response, Route, get, handler, post};
+use rushwalk_clients::state::Outcome;
+use rushwalk_plan::quota::can_ever_run;
+use rushwalk_wire::MAX_BODY;
+use rushwalk_wire::jobs::{JobSpec, Refusal, is_job_id};
+use rushwalk_wire::records::{self as rec, Phase};
+use rushwalk_wire::state::Transaction;
+use rushwalk_wire::worker::{Elsewhere, Report};
+use serde::Serialize;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub fn routes(node: Arc<Node>) -> impl Endpoint {
+    Route::new()
+        .at("/api/jobs", post(submit))
+        .at("/api/jobs/:uid", get(ask))
+        .at("/api/jobs/:uid/abort", post(cancel))
+        .at("/healthz", get(health))
+        .at("/agent/beat", post(beat))
+        .data(node)
+}
+
+fn json(status: StatusCode, value: &impl Serialize) -> Response {
+    Response::builder()
+        .status(status)
+        .content_type("application/json")
+        .body(serde_json::to_vec(value).unwrap_or_default())
+}
+
+fn refuse(status: StatusCode, error: impl Into<String>) -> Response {
+    let mut response = json(
+        status,
+        &Refusal {
+            error: error.into(),
+        },
+    );
+    if status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS {
+        let after = poem::http::HeaderValue::from_static("1");
+        response.headers_mut().insert("retry-after", after);
+    }
+    response
+}
+
+fn not_now(why: &str) -> Response {
+    refuse(StatusCode::SERVICE_UNAVAILABLE, why)
+}
+
+pub async fn bytes(body: Body) -> Result<Vec<u8>, Response> {
+    match body.into_bytes_limit(MAX_BODY).await {
+        Ok(bytes) => Ok(bytes.to_vec()),
+        Err(poem::error::ReadBodyError::PayloadTooLarge) => {
+            Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB"))
+        }
+        Err(error) => Err(refuse(StatusCode::BAD_REQUEST, error.to_string())),
+    }
+}
+
+/// How long a fresh read may take: users give up on a poll after 2 s.
+const PATIENCE: Duration = Duration::from_millis(1500);
+
+#[handler]
+async fn submit(body: Body, node: Data<&Arc<Node>>) -> Response {
+    let body = match bytes(body).await {
+        Ok(body) => body,
+        Err(response) => return response,
+    };
+    // A known job is answered by its state, however the request looks now.
+    let named = serde_json::from_slice::<serde_json::Value>(&body).ok();
+    let uid = named
+        .as_ref()
+        .and_then(|v| v.get("uid")?.as_str())
+        .filter(|uid| is_job_id(uid));
+    if let Some(uid) = uid {
+        let known = node.view().jobs.contains_key(uid);
+        if known {
+            return answer(&node, uid).await;
+        }
+    }
+    let parsed = JobSpec::parse(&body);
+    let refused = match &parsed {
+        Ok(spec) => {
+            let Some(types) = node.view().types.clone() else {
+                return not_now("the machine types are not known yet");
+            };
+            let site = &node.settings.site;
+            match can_ever_run(spec, &site.teams, &types.types, &site.zones) {
+                Ok(()) => None,
+                Err(why) => Some((StatusCode::UNPROCESSABLE_ENTITY, why)),
+            }
+        }
+        Err(why) => Some((StatusCode::BAD_REQUEST, why.clone())),
+    };
+    if let Some((status, why)) = refused {
+        // It may have been accepted elsewhere, with another body.
+        if let Some(uid) = uid {
+            if !node.fresh(PATIENCE).await {
+                return not_now("the state service does not answer");
+            }
+            let known = node.view().state_of(uid);
+            if let Some(state) = known {
+                return json(StatusCode::OK, &state);
+            }
+        }
+        tracing::info!(uid, %status, why, "submission refused");
+        return refuse(status, why);
+    }
+    let Ok(spec) = parsed else {
+        return refuse(StatusCode::BAD_REQUEST, "malformed");
+    };
+    let uid = spec.uid.clone();
+    let key = rec::job_key(&uid);
+    let record = rec::Job {
+        phase: Phase::Active,
+        at: now_ms(),
+        spec: Arc::new(spec),
+    };
+    let txn = Transaction::default().when(&key, 0).put(&key, &record);
+    match node.commit(txn, For::Users).await {
+        Outcome::Done(_) => {
+            let state = node.view().state_of(&uid);
+            match state {
+                Some(state) => json(StatusCode::CREATED, &state),
+                None => not_now("try again"),
+            }
+        }
+        Outcome::Conflict => answer(&node, &uid).await,
+        Outcome::Refused(error) if error.status() == Some(429) => {
+            refuse(StatusCode::TOO_MANY_REQUESTS, "too many submissions")
+        }
+        _ => not_now("the state service does not answer"),
+    }
+}
+
+/// A job's state: final ones from memory, others from a fresh view.
+async fn answer(node: &Node, uid: &str) -> Response {
+    let known = {
+        let view = node.view();
+        let over = view.jobs.get(uid).map(|j| j.job.phase != Phase::Active);
+        over.unwrap_or(false).then(|| view.state_of(uid)).flatten()
+    };
+    if let Some(state) = known {
+        return json(StatusCode::OK, &state);
+    }
+    if !node.fresh(PATIENCE).await {
+        return not_now("the state service does not answer");
+    }
+    let state = node.view().state_of(uid);
+    match state {
+        Some(state) => json(StatusCode::OK, &state),
+        None => refuse(StatusCode::NOT_FOUND, "no such job"),
+    }
+}
+
+#[handler]
+async fn ask(Path(uid): Path<String>, node: Data<&Arc<Node>>) -> Response {
+    answer(&node, &uid).await
+}
+
+#[handler]
+async fn cancel(Path(uid): Path<String>, node: Data<&Arc<Node>>) -> Response {
+    for attempt in 0..4 {
+        let row = {
+            let view = node.view();
+            view.jobs.get(&uid).map(|j| (j.version, j.job.clone()))
+        };
+        let Some((version, job)) = row else {
+            if attempt > 0 {
+                return refuse(StatusCode::NOT_FOUND, "no such job");
+            }
+            if !node.fresh(PATIENCE).await {
+                return not_now("the state service does not answer");
+            }
+            continue;
+        };
+        if job.phase != Phase::Active {
+            return answer(&node, &uid).await;
+        }
+        let over = rec::Job {
+            phase: Phase::Cancelled,
+            ..job
+        };
+        let key = rec::job_key(&uid);
+        let mut txn = Transaction::default().when(&key, version).put(&key, &over);
+        for (part, _) in node.view().part_versions(&uid) {
+            txn = txn.delete(rec::done_key(&uid, part));
+        }
+        match node.commit(txn, For::Users).await {
+            Outcome::Done(_) => {
+                tracing::info!(job = uid, "job cancelled");
+                return answer(&node, &uid).await;
+            }
+            Outcome::Conflict => {
+                if !node.fresh(PATIENCE).await {
+                    break;
+                }
+            }
+            Outcome::Refused(error) if error.status() == Some(429) => {
+                return refuse(StatusCode::TOO_MANY_REQUESTS, "too many requests");
+            }
+            _ => break,
+        }
+    }
+    not_now("the state service does not answer")
+}
+
+#[handler]
+async fn health(node: Data<&Arc<Node>>) -> Response {
+    match crate::mesh::healthy(&node) {
+        true => "ok".into_response(),
+        false => not_now("no contact with the state service"),
+    }
+}
+
+#[handler]
+async fn beat(body: Body, node: Data<&Arc<Node>>) -> Response {
+    let body = match bytes(body).await {
+        Ok(body) => body,
+        Err(response) => return response,
+    };
+    let report: Report = match serde_json::from_slice(&body) {
+        Ok(report) => report,
+        Err(error) => return refuse(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    match holder::beat(&node, &report) {
+        Reply::Here(answer) => json(StatusCode::OK, &answer),
+        Reply::Elsewhere(report_to) => {
+            json(StatusCode::MISDIRECTED_REQUEST, &Elsewhere { report_to })
+        }
+        Reply::NotNow => not_now("not entitled"),
+    }
+}
--- /dev/null
+++ b/crates/rushwalk/src/node.rs
@@ -0,0 +1,213 @@
+//! What all loops of one controller share.
+
+use crate::holder::Rigs;
+use crate::leader::LeaderMemory;
+use crate::view::View;
+use rushwalk_clients::budget::Budget;
+use rushwalk_clients::state::{Outcome, State};
+use rushwalk_clients::{Http, cloud::Cloud, mesh::Mesh, worker::Workers};
+use rushwalk_plan::predict::Averages;
+use rushwalk_wire::mesh::Hello;
+use rushwalk_wire::settings::Settings;
+use rushwalk_wire::state::Transaction;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+/// Spans that follow from the platform's figures.
+#[derive(Debug, Clone)]
+pub struct Times {
+    /// How long a block is lent without the holder reading the state service.
+    /// A cancellation told elsewhere must reach a task within `cancel_s`: an
+    /// unaware holder renews the worker's lease for at most this long.
+    pub loan: Duration,
+    /// The member lease: its end shows the others that this node is gone.
+    pub member: Duration,
+    pub round: Duration,
+    pub report: Duration,
+    pub lease: Duration,
+    /// A machine silent for this long is suspect.
+    pub silent: Duration,
+}
+
+impl Times {
+    pub fn new(settings: &Settings) -> Times {
+        let w = &settings.site.workers;
+        let secs = Duration::from_secs_f64;
+        Times {
+            loan: secs(0.8 * (w.cancel_s - w.lease_s)),
+            member: secs((2.0 * w.report_s).clamp(1.0, 60.0)),
+            round: secs(w.report_s / 3.0),
+            report: secs(w.report_s),
+            lease: secs(w.lease_s),
+            silent: secs((4.0 * w.report_s).min(w.lease_s / 3.0)),
+        }
+    }
+}
+
+pub struct Node {
+    pub settings: Settings,
+    pub times: Times,
+    /// One per process: a restarted controller inherits nothing by its name.
+    pub nonce: u64,
+    pub state: State,
+    pub cloud: Cloud,
+    pub workers: Workers,
+    pub mesh: Mesh,
+    pub view: Mutex<View>,
+    pub rigs: Mutex<Rigs>,
+    pub leading: Mutex<LeaderMemory>,
+    pub peers: Mutex<HashMap<String, (Instant, Hello)>>,
+    pub write_budget: Mutex<Budget>,
+    /// Rises with every change of the view or of a worker's report.
+    pub changed: watch::Sender<u64>,
+    /// When the newest successful read of the state service was sent.
+    pub synced: watch::Sender<Option<Instant>>,
+    pub fresh_wanted: Notify,
+    pub member_lease: Mutex<Option<u64>>,
+}
+
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+pub fn now_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
+}
+
+/// Whom a write serves: users' requests go before housekeeping.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum For {
+    Users,
+    Work,
+    Upkeep,
+}
+
+impl Node {
+    pub fn new(settings: Settings) -> Result<Arc<Node>, rushwalk_clients::Error> {
+        let http = Http::default();
+        let state: SocketAddr = rushwalk_clients::http::address(&settings.services.state)?;
+        let cloud: SocketAddr = rushwalk_clients::http::address(&settings.services.cloud)?;
+        let times = Times::new(&settings);
+        let now = Instant::now();
+        // All controllers share the limit; a tenth is left for misjudgement.
+        let writes = 0.9 * settings.site.state.write_rps;
+        let share = writes / (1.0 + settings.peers.len() as f64) * 1.2;
+        let averages = Averages::new(10, 0.25 * settings.site.workers.report_s);
+        Ok(Arc::new(Node {
+            nonce: rand::random::<u64>() >> 12,
+            state: State::new(http.clone(), state),
+            cloud: Cloud::new(http.clone(), cloud),
+            workers: Workers::new(http.clone()),
+            mesh: Mesh::new(http),
+            view: Mutex::new(View::new(averages)),
+            rigs: Mutex::default(),
+            leading: Mutex::default(),
+            peers: Mutex::default(),
+            write_budget: Mutex::new(Budget::new(share, share.max(4.0), now)),
+            changed: watch::Sender::new(0),
+            synced: watch::Sender::new(None),
+            fresh_wanted: Notify::new(),
+            member_lease: Mutex::default(),
+            settings,
+            times,
+        }))
+    }
+
+    pub fn me(&self) -> &str {
+        &self.settings.member
+    }
+
+    pub fn view(&self) -> MutexGuard<'_, View> {
+        lock(&self.view)
+    }
+
+    pub fn poke(&self) {
+        self.changed.send_modify(|n| *n += 1);
+    }
+
+    /// How long ago the state service last answered a read, from its sending.
+    pub fn state_age(&self) -> Duration {
+        self.synced
+            .borrow()
+            .map_or(Duration::MAX, |at| at.elapsed())
+    }
+
+    pub fn loan_valid(&self) -> bool {
+        self.state_age() < self.times.loan
+    }
+
+    /// The token under which this process holds `block`, if it does.
+    pub fn token(&self, view: &View, block: &str) -> Option<u64> {
+        let (version, grant) = view.grants.get(block)?;
+        (grant.holder == self.me() && grant.nonce == self.nonce && self.loan_valid())
+            .then_some(*version)
+    }
+
+    /// The version of our leader key, if we lead.
+    pub fn leadership(&self, view: &View) -> Option<u64> {
+        let (version, leader) = view.leader.as_ref()?;
+        let nonce = lock(&self.leading).nonce;
+        (leader.member == self.me() && Some(leader.nonce) == nonce).then_some(*version)
+    }
+
+    /// Waits for a view at least as new as this call; false if none came.
+    pub async fn fresh(&self, patience: Duration) -> bool {
+        let asked = Instant::now();
+        let mut synced = self.synced.subscribe();
+        self.fresh_wanted.notify_one();
+        let newer = synced.wait_for(|at| at.is_some_and(|at| at >= asked));
+        matches!(tokio::time::timeout(patience, newer).await, Ok(Ok(_)))
+    }
+
+    /// Commits within the write budget and takes the result into the view.
+    pub async fn commit(&self, txn: Transaction, whom: For) -> Outcome {
+        let cost = txn.writes.len() as f64;
+        let patience = match whom {
+            For::Users => Duration::from_millis(400),
+            _ => Duration::from_secs(3),
+        };
+        let started = Instant::now();
+        loop {
+            let wait = {
+                let mut budget = lock(&self.write_budget);
+                let now = Instant::now();
+                // Upkeep leaves a part of the burst for users and placements.
+                let reserve = match whom {
+                    For::Users => 0.0,
+                    For::Work => 2.0,
+                    For::Upkeep => 4.0,
+                };
+                if budget.take(cost, reserve, now) {
+                    break;
+                }
+                budget.wait(cost, reserve, now)
+            };
+            if started.elapsed() + wait > patience {
+                return Outcome::Refused(rushwalk_clients::Error::Status(429));
+            }
+            tokio::time::sleep(wait.max(Duration::from_millis(5))).await;
+        }
+        let outcome = self.state.commit(&txn, Duration::from_secs(2)).await;
+        match &outcome {
+            Outcome::Done(revision) => {
+                self.view().committed(&txn.writes, *revision, now_ms());
+                self.poke();
+            }
+            Outcome::Refused(error) => {
+                if error.status() == Some(429) {
+                    lock(&self.write_budget).drain(Instant::now());
+                }
+                tracing::debug!(%error, "commit refused");
+            }
+            Outcome::Unknown(error) => tracing::info!(%error, "commit unanswered"),
+            Outcome::Conflict | Outcome::NoLease => self.fresh_wanted.notify_one(),
+        }
+        outcome
+    }
+}
--- /dev/null
+++ b/crates/rushwalk/src/sync.rs
@@ -0,0 +1,202 @@
+//! Keeping the view new, the member lease alive, and a leader elected.
+
+use crate::node::{For, Node, lock, now_ms};
+use rushwalk_clients::Error;
+use rushwalk_clients::state::Outcome;
+use rushwalk_wire::records::{self as rec, LEADER, ROOT};
+use rushwalk_wire::state::{Changes, Transaction};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Reads everything; used at the start and when a watch is too old.
+async fn list(node: &Node) -> Result<(), Error> {
+    let sent = Instant::now();
+    let (mut items, mut since, mut revision) = (Vec::new(), String::new(), None);
+    loop {
+        let page = node.state.list(ROOT, &since).await?;
+        revision.get_or_insert(page.revision);
+        if let Some(last) = page.items.last() {
+            since = last.key.clone();
+        }
+        let more = page.more && !page.items.is_empty();
+        items.extend(page.items);
+        if !more {
+            break;
+        }
+    }
+    // Changes during the listing come again with the watch from its start.
+    let revision = revision.unwrap_or(0);
+    node.view().reset(items, revision, now_ms());
+    tracing::info!(revision, "view listed");
+    synced(node, sent);
+    Ok(())
+}
+
+fn synced(node: &Node, sent: Instant) {
+    node.synced
+        .send_modify(|at| *at = Some(at.map_or(sent, |old| old.max(sent))));
+    node.poke();
+}
+
+/// Takes a watch's answer into the view.
+fn take(node: &Node, sent: Instant, answer: Changes) {
+    node.view().watch(answer.events, answer.revision, now_ms());
+    synced(node, sent);
+}
+
+/// Follows the state service by long polls.
+pub async fn watch_loop(node: Arc<Node>) {
+    let mut listed = false;
+    let block = node.times.round * 2;
+    loop {
+        if !listed {
+            match list(&node).await {
+                Ok(()) => listed = true,
+                Err(error) => {
+                    tracing::debug!(%error, "listing failed");
+                    sleep(node.times.round / 3).await;
+                    continue;
+                }
+            }
+        }
+        let since = node.view().revision;
+        let sent = Instant::now();
+        let patience = node.times.round;
+        match node.state.changes(ROOT, since, block, patience).await {
+            Ok(answer) => take(&node, sent, answer),
+            Err(error) if error.status() == Some(410) => listed = false,
+            Err(error) => {
+                tracing::debug!(%error, "watch failed");
+                sleep(node.times.round / 4).await;
+            }
+        }
+    }
+}
+
+/// One cheap read serves all requests that wait for a fresh view.
+pub async fn fresh_loop(node: Arc<Node>) {
+    // The readers of all nodes together take at most a third of the budget.
+    let nodes = 1.0 + node.settings.peers.len() as f64;
+    let gap = Duration::from_secs_f64(3.0 * nodes / node.settings.site.state.rps);
+    loop {
+        node.fresh_wanted.notified().await;
+        if node.synced.borrow().is_none() {
+            sleep(gap).await;
+            continue;
+        }
+        let since = node.view().revision;
+        let sent = Instant::now();
+        let call = node
+            .state
+            .changes(ROOT, since, Duration::ZERO, node.times.round);
+        match call.await {
+            Ok(answer) => take(&node, sent, answer),
+            Err(error) => {
+                tracing::debug!(%error, "fresh read failed");
+                sleep(gap * 4).await;
+                node.fresh_wanted.notify_one();
+            }
+        }
+        sleep(gap).await;
+    }
+}
+
+/// Keeps the member lease and key; leads when nobody else does.
+pub async fn member_loop(node: Arc<Node>) {
+    let every = node.times.member / 5;
+    loop {
+        let lease = *lock(&node.member_lease);
+        match lease {
+            None => match node.state.lease(node.times.member).await {
+                Ok(lease) => {
+                    *lock(&node.member_lease) = Some(lease);
+                    continue;
+                }
+                Err(error) => tracing::debug!(%error, "no lease"),
+            },
+            Some(lease) => {
+                match node.state.renew(lease, every * 2).await {
+                    Ok(()) => {}
+                    Err(error) if error.status() == Some(404) => {
+                        tracing::info!("member lease ended");
+                        *lock(&node.member_lease) = None;
+                        continue;
+                    }
+                    Err(error) => tracing::debug!(%error, "lease not renewed"),
+                }
+                if node.synced.borrow().is_some() {
+                    register(&node, lease).await;
+                    elect(&node, lease).await;
+                }
+            }
+        }
+        let mut changed = node.changed.subscribe();
+        let until = Instant::now() + every;
+        // A leader's end is noticed at once, not with the next renewal.
+        while Instant::now() < until {
+            let rest = until - Instant::now();
+            if timeout(rest, changed.changed()).await.is_err() {
+                break;
+            }
+            if node.view().leader.is_none() {
+                sleep(Duration::from_millis(rand::random::<u64>() % 100)).await;
+                break;
+            }
+        }
+    }
+}
+
+async fn register(node: &Node, lease: u64) {
+    let key = rec::member_key(node.me());
+    let txn = {
+        let view = node.view();
+        let there = view.members.get(node.me());
+        if there.is_some_and(|m| m.nonce == node.nonce) {
+            return;
+        }
+        let member = rec::Member {
+            zone: node.settings.zone.clone(),
+            nonce: node.nonce,
+            since_ms: now_ms(),
+        };
+        Transaction::default()
+            .when(&key, view.version(&key))
+            .put_leased(&key, &member, lease)
+    };
+    if let Outcome::NoLease = node.commit(txn, For::Work).await {
+        *lock(&node.member_lease) = None;
+    }
+}
+
+async fn elect(node: &Node, lease: u64) {
+    let nonce = rand::random::<u64>() >> 12;
+    let txn = {
+        let view = node.view();
+        let mine = node.leadership(&view).is_some();
+        let uncertain = lock(&node.leading).uncertain;
+        match &view.leader {
+            // Our own earlier process, or commits of ours that may come late.
+            Some((_, l)) if l.member == node.me() && (!mine || uncertain) => {}
+            Some(_) => return,
+            None => {}
+        }
+        let leader = rec::Leader {
+            member: node.me().into(),
+            nonce,
+        };
+        Transaction::default()
+            .when(LEADER, view.version(LEADER))
+            .put_leased(LEADER, &leader, lease)
+    };
+    lock(&node.leading).nonce = Some(nonce);
+    match node.commit(txn, For::Work).await {
+        Outcome::Done(revision) => {
+            lock(&node.leading).uncertain = false;
+            tracing::info!(revision, "leading");
+        }
+        Outcome::NoLease => *lock(&node.member_lease) = None,
+        // The next turn looks at what came of it.
+        _ => {}
+    }
+}
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -197,7 +197,10 @@
             }
         }
         if self.state.txn_ops < 4 {
-            return invalid("settings.state.txn_ops", "fewer than 4 can't be worked with");
+            return invalid(
+                "settings.state.txn_ops",
+                "fewer than 4 can't be worked with",
+            );
         }
         if self.workers.lease_s < 3.0 * self.workers.report_s {
             return invalid(
@@ -267,7 +270,11 @@
     #[test]
     fn each_inconsistency_names_its_field() {
         for (from, to, field) in [
-            ("zones = [\"east\", \"west\", \"north\"]", "zones = []", "zones"),
+            (
+                "zones = [\"east\", \"west\", \"north\"]",
+                "zones = []",
+                "zones",
+            ),
             ("lease_s = 40.0", "lease_s = 0.0", "lease_s"),
             ("member = \"node-1\"", "member = \"node-0\"", "member"),
             ("10.0.0.1:8080", "localhost:8080", "public_addr"),
