--- a/crates/plan/src/round.rs
+++ b/crates/plan/src/round.rs
@@ -77,17 +77,7 @@
             if free_now && (finish.start > self.now || !slot.up) {
                 continue;
             }
-            // A service never finishes: the time at which it runs decides.
-            let mut score = match finish.finish.is_finite() {
-                true => finish.finish,
-                false => finish.runs,
-            };
-            // Exception to the smallest finish: waking an idle ordinary
-            // machine for work that a spot machine may do costs as if it had
-            // to boot, so that warm machines stay free for what needs them.
-            if spec.spot && !slot.spot && slot.tasks == 0 {
-                score += self.tie_s * 8.0;
-            }
+            let score = self.score(slot, spec, &finish);
             let left = slot.free_at(finish.start.max(self.now));
             let room = left.share_of(&slot.whole);
             let rank = (
@@ -112,7 +102,23 @@
         best.map(|(i, finish, _, _)| (i, finish))
     }
 
-    /// The cheapest new machine for a task that would start at `otherwise`.
+    /// What decides between machines, in seconds; the least is best.
+    fn score(&self, slot: &Slot, spec: &JobSpec, finish: &Finish) -> f64 {
+        // A service never finishes: the time at which it runs decides.
+        let score = match finish.finish.is_finite() {
+            true => finish.finish,
+            false => finish.runs,
+        };
+        // Exception to the smallest finish: waking an idle ordinary machine
+        // for work that a spot machine may do costs as if it had to boot, so
+        // that warm machines stay free for what needs them.
+        match spec.spot && !slot.spot && slot.tasks == 0 {
+            true => score + self.tie_s * 8.0,
+            false => score,
+        }
+    }
+
+    /// The cheapest new machine for a task whose best score is `otherwise`.
     fn offer(&self, job: &Waiting, otherwise: f64) -> Option<Slot> {
         let spec = &job.spec;
         let mut best: Option<(f64, usize, Slot)> = None;
@@ -125,7 +131,10 @@
             let Some(finish) = slot.finish(spec, self.averages, self.now) else {
                 continue;
             };
-            if finish.runs >= otherwise {
+            // By the same measure as machines that are there: with another
+            // one, a rental decided now would be found wanting in the next
+            // round, and each round would rent more.
+            if self.score(&slot, spec, &finish) + self.tie_s >= otherwise {
                 continue;
             }
             let fit = Amount::of_task(spec).times_in(&slot.whole, u32::MAX).max(1);
@@ -155,7 +164,9 @@
             self.slots[i].images.insert(job.spec.image.clone());
             return Some((i, true));
         }
-        let otherwise = best.map_or(f64::INFINITY, |(_, f)| f.runs);
+        let otherwise = best.map_or(f64::INFINITY, |(i, f)| {
+            self.score(&self.slots[i], &job.spec, &f)
+        });
         if let Some(slot) = self.offer(job, otherwise) {
             self.slots.push(slot);
             let i = self.slots.len() - 1;
--- a/crates/rushwalk/src/view.rs
+++ b/crates/rushwalk/src/view.rs
@@ -273,7 +273,9 @@
                         .entry(spec.class.clone())
                         .or_insert_with(|| (VecDeque::new(), spec.clone()));
                     *latest = spec;
-                    times.push_back(job.at);
+                    // A listing brings jobs by name, not by time.
+                    let after = times.partition_point(|at| *at <= job.at);
+                    times.insert(after, job.at);
                     if times.len() > ARRIVALS {
                         times.pop_front();
                     }
