--- a/crates/plan/src/round.rs
+++ b/crates/plan/src/round.rs
@@ -156,12 +156,10 @@
 
     /// Plans one task; true if it can start on a machine that is up.
     fn place_one(&mut self, job: &Waiting) -> Option<(usize, bool)> {
-        let amount = Amount::of_task(&job.spec);
         let best = self.best(job, false);
         let now = best.filter(|(i, f)| f.start <= self.now && self.slots[*i].up);
         if let Some((i, finish)) = now {
-            self.slots[i].take(amount, finish.start, finish.finish);
-            self.slots[i].images.insert(job.spec.image.clone());
+            self.slots[i].place(&job.spec, &finish);
             return Some((i, true));
         }
         let otherwise = best.map_or(f64::INFINITY, |(i, f)| {
@@ -171,14 +169,12 @@
             self.slots.push(slot);
             let i = self.slots.len() - 1;
             if let Some(finish) = self.slots[i].finish(&job.spec, self.averages, self.now) {
-                self.slots[i].take(amount, finish.start, finish.finish);
-                self.slots[i].images.insert(job.spec.image.clone());
+                self.slots[i].place(&job.spec, &finish);
             }
             return Some((i, false));
         }
         let (i, finish) = best?;
-        self.slots[i].take(amount, finish.start, finish.finish);
-        self.slots[i].images.insert(job.spec.image.clone());
+        self.slots[i].place(&job.spec, &finish);
         Some((i, false))
     }
 
@@ -272,7 +268,7 @@
                 let Some((i, finish)) = found else { break };
                 last = last.max(finish.runs);
                 places.add(&slots[i].zone);
-                slots[i].take(amount, finish.start, finish.finish);
+                slots[i].place(&job.spec, &finish);
                 chosen.push(i);
             }
             if chosen.len() == job.indexes.len()
@@ -285,7 +281,6 @@
             self.slots = slots;
             self.usage.add(&job.spec.team, all);
             for (index, slot) in job.indexes.iter().zip(chosen) {
-                self.slots[slot].images.insert(job.spec.image.clone());
                 out.placed.push(Placed {
                     uid: job.spec.uid.clone(),
                     index: *index,
--- a/crates/plan/src/slot.rs
+++ b/crates/plan/src/slot.rs
@@ -4,7 +4,7 @@
 use crate::predict::Averages;
 use rushwalk_wire::cloud::MachineType;
 use rushwalk_wire::jobs::JobSpec;
-use std::collections::HashSet;
+use std::collections::HashMap;
 
 #[derive(Debug, Clone)]
 pub struct Slot {
@@ -18,7 +18,9 @@
     /// False for a machine that boots, or is only about to be rented.
     pub up: bool,
     pub whole: Amount,
-    pub images: HashSet<String>,
+    /// Images it has or fetches, and from when on each is there. Treating one
+    /// under way as there made tasks wait for machines that still booted.
+    pub images: HashMap<String, f64>,
     pub fetch_gb_per_s: f64,
     pub price: f64,
     /// Miss of the prediction for its latest finished task.
@@ -49,7 +51,7 @@
             ready,
             up: false,
             whole: Amount::of_type(kind),
-            images: HashSet::new(),
+            images: HashMap::new(),
             fetch_gb_per_s: kind.fetch_gb_per_s,
             price: match spot {
                 true => kind.spot_price.unwrap_or(kind.price),
@@ -117,17 +119,20 @@
             return None;
         }
         let overhead = averages.overhead();
-        let fetch = match self.images.contains(&spec.image) {
-            true => 0.0,
-            false => averages.fetch_time(spec.image_gb, &self.kind, self.fetch_gb_per_s),
-        };
         let run = averages.run_time(spec, &self.kind);
+        let image = self.image_at(spec, averages, now.max(self.ready));
+        let fetch = (image - now.max(self.ready)).max(0.0);
         let mut start = self.earliest(&amount, now, overhead + fetch + run)?;
         if start > now && self.up {
             // Only a machine with pending tasks has a pending error.
             start = (start + self.pending_error).max(now + overhead);
         }
-        let runs = start + overhead + fetch;
+        // An image is fetched from the task's start on, unless it is there or
+        // under way for another.
+        let runs = match self.images.contains_key(&spec.image) {
+            true => (start + overhead).max(image),
+            false => start + overhead + fetch,
+        };
         Some(Finish {
             start,
             runs,
@@ -135,6 +140,22 @@
         })
     }
 
+    /// When the image would be there if its fetch began at `from`: fetches on
+    /// one machine share its rate, so one waits for those under way.
+    fn image_at(&self, spec: &JobSpec, averages: &Averages, from: f64) -> f64 {
+        if let Some(at) = self.images.get(&spec.image) {
+            return *at;
+        }
+        let busy = self.images.values().copied().fold(from, f64::max);
+        busy + averages.fetch_time(spec.image_gb, &self.kind, self.fetch_gb_per_s)
+    }
+
+    /// Plans a task on this machine, with the fetch of its image.
+    pub fn place(&mut self, spec: &JobSpec, finish: &Finish) {
+        self.take(Amount::of_task(spec), finish.start, finish.finish);
+        self.images.entry(spec.image.clone()).or_insert(finish.runs);
+    }
+
     pub fn allowed(&self, spec: &JobSpec) -> bool {
         (spec.spot || !self.spot)
             && spec.zone.as_ref().is_none_or(|z| *z == self.zone)
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -6,7 +6,6 @@
 use crate::view::View;
 use rushwalk_clients::Error;
 use rushwalk_clients::state::Outcome;
-use rushwalk_plan::Amount;
 use rushwalk_plan::quota::{Places, Usage};
 use rushwalk_plan::round::{Round, Waiting};
 use rushwalk_wire::jobs::{Shape, parse_task, task_name};
@@ -563,7 +562,7 @@
             let Some((i, finish)) = round.best(&waiting, true) else {
                 continue;
             };
-            round.slots[i].take(Amount::of_task(&job.job.spec), finish.start, finish.finish);
+            round.slots[i].place(&job.job.spec, &finish);
             let name = round.slots[i].name.clone();
             let task = rec::Task {
                 machine: Some(name.clone()),
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -33,6 +33,8 @@
     /// The machine that the plan had in mind for an assigned task.
     hints: HashMap<(String, u32), String>,
     pub waits: BTreeMap<String, &'static str>,
+    /// Rentals whose request is under way.
+    asking: BTreeSet<String>,
     /// Deleted machines, which the late list still shows for a while.
     gone: HashMap<String, Instant>,
 }
@@ -401,9 +403,9 @@
                 .iter_mut()
                 .find(|s| Some(&s.name) == hint && s.block == t.task.block);
             if let Some(slot) = slot {
-                let run = round.averages.run_time(spec, &slot.kind);
-                slot.take(amount, round.now, round.now + run);
-                slot.images.insert(spec.image.clone());
+                if let Some(finish) = slot.finish(spec, round.averages, round.now) {
+                    slot.place(spec, &finish);
+                }
             }
         }
     }
@@ -646,7 +648,7 @@
     let mut listed_at: Option<Instant> = None;
     let mut typed_at: Option<Instant> = None;
     // Three kinds of calls share the budget with a margin.
-    let gap = Duration::from_secs_f64(2.0 / site.cloud.rps);
+    let gap = Duration::from_secs_f64(1.5 / site.cloud.rps);
     let list_every = Duration::from_secs_f64(site.cloud.list_lag_s.max(2.0));
     loop {
         sleep(gap).await;
@@ -670,9 +672,12 @@
             list.map(|(name, (v, r))| (name.clone(), *v, r.clone()))
                 .collect()
         };
-        for (name, version, rental) in rentals.into_iter().take(4) {
-            rent_one(&node, name, version, rental).await;
-            sleep(gap).await;
+        // Side by side: at the start of a day many are wanted at once.
+        for (name, version, rental) in rentals {
+            if lock(&node.leading).asking.insert(name.clone()) {
+                tokio::spawn(rent_one(node.clone(), name, version, rental));
+                sleep(gap).await;
+            }
         }
         if listed_at.is_none_or(|at| at.elapsed() > list_every) {
             listed_at = Some(Instant::now());
@@ -761,9 +766,16 @@
     true
 }
 
-async fn rent_one(node: &Node, name: String, rental_version: u64, rental: rec::Rental) {
+async fn rent_one(node: Arc<Node>, name: String, rental_version: u64, rental: rec::Rental) {
+    ask_one(&node, &name, rental_version, rental).await;
+    // Unanswered ones are asked for again, under the same name.
+    sleep(node.times.round).await;
+    lock(&node.leading).asking.remove(&name);
+}
+
+async fn ask_one(node: &Node, name: &str, rental_version: u64, rental: rec::Rental) {
     let request = RentRequest {
-        request: name.clone(),
+        request: name.to_string(),
         kind: rental.kind.clone(),
         zone: rental.zone.clone(),
         spot: rental.spot,
@@ -771,7 +783,7 @@
     };
     let kind = (rental.kind.clone(), rental.zone.clone(), rental.spot);
     let answer = node.cloud.rent(&request).await;
-    let key = rec::rental_key(&name);
+    let key = rec::rental_key(name);
     let drop = Transaction::default()
         .when(&key, rental_version)
         .delete(&key);
--- a/crates/rushwalk/src/slots.rs
+++ b/crates/rushwalk/src/slots.rs
@@ -19,7 +19,8 @@
     let mut slot = Slot::new(name, kind, &machine.zone, machine.spot, ready);
     slot.block = machine.block.clone();
     slot.up = machine.up.is_some();
-    slot.images = row.images.iter().map(|(image, _)| image.clone()).collect();
+    let there = row.images.iter().map(|(image, _)| (image.clone(), 0.0));
+    slot.images = there.collect();
     for (uid, index) in &row.tasks {
         let Some(job) = view.jobs.get(uid) else {
             continue;
@@ -33,7 +34,14 @@
             ready,
             until.max(ready + 1.0),
         );
-        slot.images.insert(job.job.spec.image.clone());
+        let spec = &job.job.spec;
+        if task.task.ran.is_none() && !slot.images.contains_key(&spec.image) {
+            let fetch = view
+                .averages
+                .fetch_time(spec.image_gb, &kind.name, kind.fetch_gb_per_s);
+            let at = task.task.at as f64 / 1000.0 + view.averages.overhead() + fetch;
+            slot.images.insert(spec.image.clone(), at.max(now));
+        }
     }
     slot.pending_error = row.miss_s.clamp(-kind.boot_s, kind.boot_s);
     slot
