--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod quota;
 pub mod round;
 pub mod slot;
+pub mod urgency;
 
 pub use amount::Amount;
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -335,6 +335,7 @@
                 }
                 Some(r) => {
                     if r.state == TaskState::Running && t.task.ran.is_none() {
+                        tracing::debug!(task = r.task, machine = name, "task runs");
                         let task = rec::Task {
                             ran: Some(now),
                             ..t.task.clone()
@@ -564,6 +565,15 @@
             };
             round.slots[i].place(&job.job.spec, &finish);
             let name = round.slots[i].name.clone();
+            let class = &job.job.spec.class;
+            tracing::debug!(
+                uid,
+                index,
+                machine = name,
+                class,
+                image = job.job.spec.image,
+                "placed"
+            );
             let task = rec::Task {
                 machine: Some(name.clone()),
                 at: now,
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -11,6 +11,7 @@
 use rushwalk_plan::quota::{Places, Usage};
 use rushwalk_plan::round::{Decisions, Offer, Round, Waiting};
 use rushwalk_plan::slot::Slot;
+use rushwalk_plan::urgency::{Needs, start_by};
 use rushwalk_wire::cloud::{ListedState, MAX_DELETE, MachineType, RentRequest};
 use rushwalk_wire::jobs::{Priority, Shape};
 use rushwalk_wire::records::{self as rec, LEADER, MachineStage, Phase, StopWhy};
@@ -33,6 +34,8 @@
     /// The machine that the plan had in mind for an assigned task.
     hints: HashMap<(String, u32), String>,
     pub waits: BTreeMap<String, &'static str>,
+    /// When a machine was last emptied for want of use.
+    gathered: Option<Instant>,
     /// Rentals whose request is under way.
     asking: BTreeSet<String>,
     /// Deleted machines, which the late list still shows for a while.
@@ -339,13 +342,16 @@
     }
     round.rent_from = round.slots.len();
     assigned(&view, &mut memory, &mut round);
-    let waiting = waiting(&view, now);
+    let waiting = waiting(&view, now, site);
     let decisions = round.run(&waiting);
     let assign = assign(&view, &mut memory, &round, &decisions, now, version, site);
     memory.waits = decisions.waits.into_iter().collect();
     spare(&view, &mut round, now);
     let rent = rent(&round, now, version, site.state.txn_ops);
-    let stages = idle(&view, &mut memory, &round, version, site.state.txn_ops);
+    let mut stages = idle(&view, &mut memory, &round, version, site.state.txn_ops);
+    if rent.is_empty() && assign.is_empty() {
+        stages.extend(gather(&view, &mut memory, &mut round, version));
+    }
     (assign, rent, stages)
 }
 
@@ -412,10 +418,50 @@
 }
 
 /// Jobs with tasks that have no place, in order.
-fn waiting(view: &View, now: u64) -> Vec<Waiting> {
+fn waiting(view: &View, now: u64, site: &rushwalk_wire::settings::Site) -> Vec<Waiting> {
     let mut out: Vec<Waiting> = Vec::new();
     let mut planned = 0;
-    for (_, _, uid) in &view.active {
+    // Of all unfinished jobs in order of arrival, per team: a job is within
+    // its guarantee if it fits into it together with the earlier ones.
+    let mut unfinished = Usage::default();
+    let mut by_arrival: Vec<&String> = view.active.iter().map(|(_, _, uid)| uid).collect();
+    by_arrival.sort_by_key(|uid| view.jobs.get(*uid).map_or(0, |j| j.job.at));
+    let mut order: Vec<(Priority, f64, u64, &String)> = Vec::new();
+    for uid in by_arrival {
+        let Some(job) = view.jobs.get(uid) else {
+            continue;
+        };
+        let spec = &job.job.spec;
+        let amount = Amount::of_task(spec);
+        let n = f64::from(spec.tasks);
+        let all = Amount {
+            cpus: amount.cpus * n,
+            gpus: amount.gpus * n,
+            memory_gb: 0.0,
+        };
+        let team = site.teams.iter().find(|t| t.name == spec.team);
+        let guaranteed = team.is_some_and(|t| unfinished.guaranteed(t, all));
+        unfinished.add(&spec.team, all);
+        // As if on a machine without its image: the type is not known yet.
+        let kind = view.types.iter().flat_map(|t| &t.types).next();
+        let needs = Needs {
+            fetch_s: kind.map_or(0.0, |k| {
+                view.averages
+                    .fetch_time(spec.image_gb, &k.name, k.fetch_gb_per_s)
+            }),
+            run_s: kind.map_or(0.0, |k| view.averages.run_time(spec, &k.name)),
+            guaranteed,
+        };
+        let at = job.job.at as f64 / 1000.0;
+        let by = start_by(spec, at, now as f64 / 1000.0, needs, &site.objectives);
+        order.push((spec.priority, by, job.job.at, uid));
+    }
+    order.sort_by(|a, b| {
+        (a.0.cmp(&b.0))
+            .then(a.1.total_cmp(&b.1))
+            .then(a.2.cmp(&b.2))
+    });
+    for (_, _, _, uid) in order {
         let Some(job) = view.jobs.get(uid) else {
             continue;
         };
@@ -642,6 +688,88 @@
     batch(units, version, ops)
 }
 
+/// Empties a machine that holds few services by moving them to others where
+/// their images are, once room beyond the expected arrivals allows it.
+fn gather(
+    view: &View,
+    memory: &mut LeaderMemory,
+    round: &mut Round,
+    version: u64,
+) -> Option<Transaction> {
+    let boot = |kind: &str| {
+        let types = view.types.iter().flat_map(|t| &t.types);
+        types.filter(|t| t.name == kind).map(|t| t.boot_s).next()
+    };
+    let mut candidates: Vec<_> = view
+        .machines
+        .iter()
+        .filter(|(_, row)| row.machine.stage == MachineStage::Use && !row.tasks.is_empty())
+        .filter(|(_, row)| row.tasks.len() <= 4 && row.machine.up.is_some())
+        .collect();
+    candidates.sort_by_key(|(_, row)| row.tasks.len());
+    for (name, row) in candidates {
+        let wait = Duration::from_secs_f64(boot(&row.machine.kind).unwrap_or(60.0));
+        if memory.gathered.is_some_and(|at| at.elapsed() < wait) {
+            return None;
+        }
+        let settled = |t: &rec::Task| t.ran.is_some() && t.stop.is_none();
+        let services: Option<Vec<Waiting>> = row
+            .tasks
+            .iter()
+            .map(|(uid, index)| {
+                let job = view.jobs.get(uid)?;
+                let spec = &job.job.spec;
+                let movable = spec.shape == Shape::Service
+                    && job.job.phase == Phase::Active
+                    && settled(&job.tasks.get(index)?.task);
+                let mut places = Places::default();
+                for (i, t) in &job.tasks {
+                    if i != index {
+                        places.add(zone_of(&t.task.block));
+                    }
+                }
+                movable.then(|| Waiting {
+                    spec: spec.clone(),
+                    at: job.job.at,
+                    indexes: vec![*index],
+                    places,
+                    avoid: vec![name.clone()],
+                })
+            })
+            .collect();
+        let Some(services) = services else { continue };
+        // What is planned for this machine beside its tasks must not be lost.
+        let planned = round.slots.iter().find(|s| s.name == *name);
+        if planned.is_none_or(|s| s.tasks > row.tasks.len()) {
+            continue;
+        }
+        let before = round.slots.clone();
+        let fits = services.iter().all(|job| {
+            let Some((i, finish)) = round.best(job, true) else {
+                return false;
+            };
+            let warm = finish.runs <= round.now + round.averages.overhead() + 0.1;
+            let slot = &mut round.slots[i];
+            let used = slot.tasks > 0;
+            slot.place(&job.spec, &finish);
+            warm && used
+        });
+        if fits {
+            memory.gathered = Some(Instant::now());
+            tracing::info!(machine = name, tasks = row.tasks.len(), "machine emptied");
+            let machine = rec::Machine {
+                stage: MachineStage::Drain,
+                ..row.machine.clone()
+            };
+            let key = rec::machine_key(name);
+            let txn = Transaction::default().when(LEADER, version);
+            return Some(txn.when(&key, row.version).put(&key, &machine));
+        }
+        round.slots = before;
+    }
+    None
+}
+
 /// Carries out rentals and deletions that are committed; reads the list.
 pub async fn cloud_loop(node: Arc<Node>) {
     let site = &node.settings.site;
