--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -561,7 +561,7 @@
 /// Plans room for the arrivals to be expected while a machine would boot, so
 /// that they find one that is warm.
 fn spare(view: &View, round: &mut Round, now: u64) {
-    const BUCKETS: usize = 8;
+    const BUCKETS: usize = 5;
     let boot = |kind: &str| {
         let types = view.types.iter().flat_map(|t| &t.types);
         types
@@ -665,7 +665,7 @@
                 let types = view.types.iter().flat_map(|t| &t.types);
                 let kind = types.clone().find(|t| t.name == row.machine.kind);
                 // It costs a boot to have it again.
-                let hold = kind.map_or(60.0, |t| t.boot_s);
+                let hold = kind.map_or(60.0, |t| 0.5 * t.boot_s);
                 if since.elapsed().as_secs_f64() < hold {
                     continue;
                 }
@@ -704,11 +704,11 @@
         .machines
         .iter()
         .filter(|(_, row)| row.machine.stage == MachineStage::Use && !row.tasks.is_empty())
-        .filter(|(_, row)| row.tasks.len() <= 4 && row.machine.up.is_some())
+        .filter(|(_, row)| row.machine.up.is_some() && row.machine.silent.is_none())
         .collect();
     candidates.sort_by_key(|(_, row)| row.tasks.len());
     for (name, row) in candidates {
-        let wait = Duration::from_secs_f64(boot(&row.machine.kind).unwrap_or(60.0));
+        let wait = Duration::from_secs_f64(0.3 * boot(&row.machine.kind).unwrap_or(60.0));
         if memory.gathered.is_some_and(|at| at.elapsed() < wait) {
             return None;
         }
