Overdue restarts, notices with their time, patience behind cuts

The design's restart of overdue tasks, only where the job's run time is known or the machine has shown itself slow. A recalled machine's tasks that would not be done in time move at once; its deletion follows the notice. Ordinary machines that fall silent, and blocks of which most do, get three quarters of a lease; a block whose holder hears nothing is lent to another.

--- a/crates/plan/src/slot.rs
+++ b/crates/plan/src/slot.rs
@@ -25,6 +25,8 @@
     pub price: f64,
     /// Miss of the prediction for its latest finished task.
     pub pending_error: f64,
+    /// How many times longer than its group it takes, as far as is known.
+    pub slow: f64,
     /// Tasks on it, planned ones included.
     pub tasks: usize,
     /// What is free from each time on; times rise, the first is the ready time.
@@ -58,6 +60,7 @@
                 false => kind.price,
             },
             pending_error: 0.0,
+            slow: 1.0,
             tasks: 0,
             free: vec![(ready, Amount::of_type(kind))],
         }
@@ -119,7 +122,7 @@
             return None;
         }
         let overhead = averages.overhead();
-        let run = averages.run_time(spec, &self.kind);
+        let run = averages.run_time(spec, &self.kind) * self.slow;
         let image = self.image_at(spec, averages, now.max(self.ready));
         let fetch = (image - now.max(self.ready)).max(0.0);
         let mut start = self.earliest(&amount, now, overhead + fetch + run)?;
--- a/crates/rushwalk/src/api.rs
+++ b/crates/rushwalk/src/api.rs
@@ -123,6 +123,8 @@
     let txn = Transaction::default().when(&key, 0).put(&key, &record);
     match node.commit(txn, For::Users).await {
         Outcome::Done(_) => {
+            let (class, tasks) = (&record.spec.class, record.spec.tasks);
+            tracing::info!(job = uid, class, tasks, "job accepted");
             let state = node.view().state_of(&uid);
             match state {
                 Some(state) => json(StatusCode::CREATED, &state),
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -30,7 +30,8 @@
     token: u64,
     pub heard: Option<Instant>,
     address: String,
-    recalled: bool,
+    /// Time of day at which it is taken back, in milliseconds.
+    recalled: Option<u64>,
     tasks: HashMap<(String, u32, u64), TaskReport>,
     /// A start sent to its own address was not answered: with this token, in
     /// this session, it may still be carried out. Until either is past, an
@@ -69,7 +70,9 @@
         if !report.address.is_empty() {
             self.address = report.address.clone();
         }
-        self.recalled = report.notice_s.is_some();
+        self.recalled = report
+            .notice_s
+            .map(|s| now_ms() + (s.clamp(0.0, 3600.0) * 1000.0) as u64);
         self.tasks.clear();
         for task in &report.tasks {
             if let Some((uid, index)) = parse_task(&task.task) {
@@ -466,9 +469,12 @@
             machine.up.get_or_insert(now);
             machine.address = rig.address.clone();
         }
-        if rig.recalled && machine.stage == MachineStage::Use {
+        if let (Some(at), None) = (rig.recalled, machine.taken) {
             tracing::info!(machine = name, "recalled");
-            machine.stage = MachineStage::Drain;
+            machine.taken = Some(at);
+            if machine.stage == MachineStage::Use {
+                machine.stage = MachineStage::Drain;
+            }
         }
     }
     // A new holder gives every worker time to find it.
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -36,6 +36,10 @@
     pub waits: BTreeMap<String, &'static str>,
     /// When a machine was last emptied for want of use.
     gathered: Option<Instant>,
+    /// When a block was last taken from a holder that was cut off.
+    moved: HashMap<String, Instant>,
+    /// Tasks restarted once because they were overdue.
+    restarted: BTreeSet<(String, u32)>,
     /// Rentals whose request is under way.
     asking: BTreeSet<String>,
     /// Deleted machines, which the late list still shows for a while.
@@ -138,6 +142,28 @@
             .and_then(|(_, g)| view.members.get(&g.holder))
             .is_some_and(|m| m.zone == zone);
         let home = view.members.iter().find(|(_, m)| m.zone == zone);
+        // A holder that hears nothing of most of its machines is cut off from
+        // them: another may reach them. Not twice within the silence.
+        let cut = valid && mostly_silent(&view, &block);
+        let mut moved = lock(&node.leading);
+        let lately = moved
+            .moved
+            .get(&block)
+            .is_some_and(|at| at.elapsed() < node.times.silent * 3);
+        if cut && !lately {
+            let holder = grant.map(|(_, g)| g.holder.clone());
+            let others = view.members.keys().filter(|m| Some(*m) != holder.as_ref());
+            if let Some(to) = others.min_by_key(|m| load.get(m).copied().unwrap_or(0)) {
+                moved.moved.insert(block.clone(), Instant::now());
+                drop(moved);
+                txns.extend(give(&view, &block, to, version));
+            }
+            continue;
+        }
+        drop(moved);
+        if lately && valid {
+            continue;
+        }
         let to = match home {
             Some((name, m)) if !valid || (!at_home && now > m.since_ms + settled) => name.clone(),
             _ if valid => continue,
@@ -146,28 +172,26 @@
                 None => continue,
             },
         };
-        let Some(member) = view.members.get(&to) else {
-            continue;
-        };
         if let Some(n) = load.get_mut(&to) {
             *n += 1;
         }
-        tracing::info!(block, to, "block lent");
-        let key = rec::grant_key(&block);
-        let grant = rec::Grant {
-            holder: to.clone(),
-            nonce: member.nonce,
-        };
-        txns.push(
-            Transaction::default()
-                .when(LEADER, version)
-                .when(&key, view.version(&key))
-                .put(&key, &grant),
-        );
+        txns.extend(give(&view, &block, &to, version));
     }
     txns
 }
 
+fn give(view: &View, block: &str, to: &str, version: u64) -> Option<Transaction> {
+    let member = view.members.get(to)?;
+    tracing::info!(block, to, "block lent");
+    let key = rec::grant_key(block);
+    let grant = rec::Grant {
+        holder: to.to_string(),
+        nonce: member.nonce,
+    };
+    let txn = Transaction::default().when(LEADER, version);
+    Some(txn.when(&key, view.version(&key)).put(&key, &grant))
+}
+
 /// Broken gangs, assignments that no holder took up, machines to be given up.
 fn upkeep(node: &Node, version: u64) -> Vec<Transaction> {
     let view = node.view();
@@ -206,7 +230,7 @@
             }
             let why = if broken || (stopping && spec.shape == Shape::Gang) {
                 Some(StopWhy::Gang)
-            } else if drains(&view, job, t) {
+            } else if drains(&view, job, t, now) {
                 Some(StopWhy::Drain)
             } else {
                 None
@@ -238,12 +262,20 @@
 }
 
 /// Whether a task should leave its machine, which is being taken back: one
-/// that saves, or a service. Others may finish in time.
-fn drains(view: &View, job: &crate::view::JobRow, t: &crate::view::TaskRow) -> bool {
+/// that saves, a service, and what would not be finished in time. Others stay.
+fn drains(view: &View, job: &crate::view::JobRow, t: &crate::view::TaskRow, now: u64) -> bool {
     let spec = &job.job.spec;
     let machine = t.task.machine.as_ref().and_then(|m| view.machines.get(m));
-    machine.is_some_and(|m| m.machine.stage == MachineStage::Drain)
-        && (spec.shape == Shape::Service || spec.checkpoint_s > 0.0)
+    let Some(row) = machine.filter(|m| m.machine.stage == MachineStage::Drain) else {
+        return false;
+    };
+    if spec.shape == Shape::Service || spec.checkpoint_s > 0.0 {
+        return true;
+    }
+    row.machine.taken.is_some_and(|taken| {
+        let end = slots::predicted_end(view, job, t, row, now as f64 / 1000.0);
+        end > taken as f64 / 1000.0
+    })
 }
 
 /// Why a machine is to be deleted at once, whatever is on it.
@@ -257,22 +289,34 @@
         let limit = (4.0 * kind.boot_s * 1000.0) as u64;
         return (now > m.rented + limit).then_some("it never came up");
     }
+    if let Some(taken) = m.taken
+        && now > taken + node.times.report.as_millis() as u64
+    {
+        // Its notice has run out: it is gone, or will be in a moment.
+        return Some("it was taken back");
+    }
     let silent = m.silent?;
-    let fellows = view.machines.values().filter(|r| {
-        r.machine.block == m.block && r.machine.up.is_some() && r.machine.spot == m.spot
-    });
-    let (all, quiet) = fellows.fold((0, 0), |(all, quiet), r| {
-        (all + 1, quiet + usize::from(r.machine.silent.is_some()))
-    });
-    // Many ordinary machines silent at once are rather a cut than dead: their
-    // tasks go on, so they get until their lease would have run out.
-    let patience = match !m.spot && quiet > 1 && quiet * 4 > all {
-        true => node.times.lease,
-        false => Duration::ZERO,
+    // Spot machines that fall silent were mostly taken without notice. Others
+    // rarely die, and so do whole blocks: that is rather a cut, behind which
+    // the tasks go on until the worker's lease runs out. Then all is lost
+    // anyway; a little earlier is the better guess for services.
+    let patience = match m.spot && !mostly_silent(view, &m.block) {
+        true => Duration::ZERO,
+        false => (node.times.lease * 3 / 4).saturating_sub(node.times.silent),
     };
     (now >= silent + patience.as_millis() as u64).then_some("it is silent")
 }
 
+/// Whether most machines of a block are silent: its holder is cut off.
+fn mostly_silent(view: &View, block: &str) -> bool {
+    let up = view.machines.values().map(|r| &r.machine);
+    let up = up.filter(|m| m.block == block && m.up.is_some());
+    let (all, quiet) = up.fold((0, 0), |(all, quiet), m| {
+        (all + 1, quiet + usize::from(m.silent.is_some()))
+    });
+    quiet > 2 && quiet * 2 > all
+}
+
 /// Puts single-write transactions together, under the leader's condition.
 fn batch(units: Vec<Transaction>, version: u64, ops: usize) -> Vec<Transaction> {
     let mut out: Vec<Transaction> = Vec::new();
@@ -346,15 +390,87 @@
     let decisions = round.run(&waiting);
     let assign = assign(&view, &mut memory, &round, &decisions, now, version, site);
     memory.waits = decisions.waits.into_iter().collect();
+    let overdue = overdue(&view, &mut memory, &mut round, now);
     spare(&view, &mut round, now);
     let rent = rent(&round, now, version, site.state.txn_ops);
     let mut stages = idle(&view, &mut memory, &round, version, site.state.txn_ops);
     if rent.is_empty() && assign.is_empty() {
         stages.extend(gather(&view, &mut memory, &mut round, version));
     }
+    let mut assign = assign;
+    assign.extend(batch(overdue, version, site.state.txn_ops));
     (assign, rent, stages)
 }
 
+/// A task that runs this many times its predicted time is overdue (§4.4).
+const OVERDUE: f64 = 2.0;
+
+/// Stops overdue batch tasks that would be finished sooner elsewhere, each at
+/// most once. Not while its job's run time is unknown: a wrong guess is not a
+/// slow machine. Each restart takes a place of its own in the plan, so that the
+/// tasks of one machine, whose times run out together, don't pile up.
+fn overdue(
+    view: &View,
+    memory: &mut LeaderMemory,
+    round: &mut Round,
+    now: u64,
+) -> Vec<Transaction> {
+    let mut units = Vec::new();
+    let seconds = now as f64 / 1000.0;
+    memory.restarted.retain(|(uid, _)| {
+        view.jobs
+            .get(uid)
+            .is_some_and(|j| j.job.phase == Phase::Active)
+    });
+    for uid in &view.live {
+        let Some(job) = view.jobs.get(uid) else {
+            continue;
+        };
+        let spec = &job.job.spec;
+        if job.job.phase != Phase::Active || spec.shape != Shape::Array {
+            continue;
+        }
+        for (index, t) in &job.tasks {
+            let name = (uid.clone(), *index);
+            let (Some(ran), Some(machine), None) = (t.task.ran, &t.task.machine, t.task.stop)
+            else {
+                continue;
+            };
+            let Some(row) = view.machines.get(machine) else {
+                continue;
+            };
+            let kind = &row.machine.kind;
+            let known = view.averages.knows(uid, kind) || row.slow() > OVERDUE;
+            let run = view.averages.run_time(spec, kind);
+            let elapsed = seconds - ran as f64 / 1000.0;
+            if !known || elapsed < OVERDUE * run || memory.restarted.contains(&name) {
+                continue;
+            }
+            let probe = Waiting {
+                spec: spec.clone(),
+                at: job.job.at,
+                indexes: vec![*index],
+                places: Places::default(),
+                avoid: vec![machine.clone()],
+            };
+            let Some((i, finish)) = round.best(&probe, true) else {
+                continue;
+            };
+            round.slots[i].place(spec, &finish);
+            memory.restarted.insert(name);
+            let key = rec::task_key(uid, *index);
+            tracing::info!(task = key, machine, elapsed, run, "overdue task restarted");
+            let task = rec::Task {
+                stop: Some(StopWhy::Overdue),
+                ..t.task.clone()
+            };
+            let txn = Transaction::default().when(&key, t.version);
+            units.push(txn.put(&key, &task));
+        }
+    }
+    units
+}
+
 fn offers(view: &View, memory: &LeaderMemory, types: &[MachineType]) -> Vec<Offer> {
     let now = Instant::now();
     let mut out = Vec::new();
@@ -935,6 +1051,7 @@
                     rented: rental.at,
                     up: None,
                     address: String::new(),
+                    taken: None,
                     silent: None,
                 };
                 txn = txn.when(&key, 0).put(&key, &record);
@@ -1047,6 +1164,7 @@
                         rented: now.saturating_sub((listed.age_s * 1000.0) as u64),
                         up: None,
                         address: listed.address.clone(),
+                        taken: None,
                         silent: None,
                     };
                     units.push(Transaction::default().when(&key, 0).put(&key, &record));
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -43,7 +43,7 @@
             round: secs(w.report_s / 3.0),
             report: secs(w.report_s),
             lease: secs(w.lease_s),
-            silent: secs((4.0 * w.report_s).min(w.lease_s / 3.0)),
+            silent: secs((3.0 * w.report_s).min(w.lease_s / 3.0)),
         }
     }
 }
--- a/crates/rushwalk/src/slots.rs
+++ b/crates/rushwalk/src/slots.rs
@@ -43,6 +43,7 @@
             slot.images.insert(spec.image.clone(), at.max(now));
         }
     }
+    slot.slow = row.slow();
     slot.pending_error = row.miss_s.clamp(-kind.boot_s, kind.boot_s);
     slot
 }
@@ -61,7 +62,7 @@
         return now + spec.save_s + 1.0;
     }
     let kind = &machine.machine.kind;
-    let run = view.averages.run_time(spec, kind);
+    let run = view.averages.run_time(spec, kind) * machine.slow();
     let end = match task.ran {
         Some(ran) => ran as f64 / 1000.0 + run,
         None => {
--- a/crates/rushwalk/src/view.rs
+++ b/crates/rushwalk/src/view.rs
@@ -3,7 +3,7 @@
 //! It is fed by listings, watches and our own commits, in any order: a key's
 //! version decides which value is the newer one.
 
-use rushwalk_plan::predict::Averages;
+use rushwalk_plan::predict::{Averages, Rolling};
 use rushwalk_wire::jobs::{JobSpec, JobState, Stance, parse_task};
 use rushwalk_wire::records::{self as rec, Bits, Phase};
 use rushwalk_wire::state::{Event, Item, Write};
@@ -33,6 +33,19 @@
     pub images: VecDeque<(String, f64)>,
     /// By how much the prediction missed its latest finished task.
     pub miss_s: f64,
+    /// Run times over predicted ones, of its latest finished tasks.
+    ratios: Rolling,
+}
+
+impl MachineRow {
+    /// By how much it is slower than its group. Guesses miss, so less than
+    /// half as slow again says nothing.
+    pub fn slow(&self) -> f64 {
+        match self.ratios.mean() {
+            Some(ratio) if ratio > 1.5 => ratio,
+            _ => 1.0,
+        }
+    }
 }
 
 pub struct View {
@@ -198,6 +211,7 @@
                             tasks: BTreeSet::new(),
                             images: VecDeque::new(),
                             miss_s: 0.0,
+                            ratios: Rolling::default(),
                         };
                         // Its tasks may be known before it, after a listing.
                         for uid in &self.live {
@@ -360,7 +374,12 @@
             {
                 let seconds = now_ms.saturating_sub(ran) as f64 / 1000.0;
                 let kind = &machine.machine.kind;
-                machine.miss_s = seconds - self.averages.run_time(&spec, kind);
+                let predicted = self.averages.run_time(&spec, kind);
+                tracing::debug!(uid, index, machine = name, seconds, predicted, "finished");
+                machine.miss_s = seconds - predicted;
+                if predicted.is_finite() && predicted > 0.0 {
+                    machine.ratios.add((seconds / predicted).min(4.0), 4);
+                }
                 self.averages.finished(&spec, kind, seconds);
             }
         }
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -131,6 +131,9 @@
     pub up: Option<u64>,
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub address: String,
+    /// Time of day at which the cloud takes it back, by its notice.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub taken: Option<u64>,
     /// Since when its holder has heard nothing of it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub silent: Option<u64>,
