--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -34,9 +34,11 @@
     }
 }
 
+type Connection = SendRequest<Full<Bytes>>;
+
 #[derive(Clone, Default)]
 pub struct Http {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>>,
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>,
 }
 
 /// Idle connections kept for one address; more would only hold sockets.
@@ -101,7 +103,7 @@
         serde_json::from_slice(&body).map_err(|e| Error::Unknown(e.to_string()))
     }
 
-    fn take(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&address)?;
         while let Some(sender) = list.pop() {
@@ -113,7 +115,7 @@
         None
     }
 
-    fn put(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>) {
+    fn put(&self, address: SocketAddr, sender: Connection) {
         if sender.is_closed() {
             return;
         }
@@ -132,7 +134,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, Error> {
+async fn connect(address: SocketAddr) -> Result<Connection, Error> {
     let failed = |e: &dyn std::fmt::Display| Error::NotSent(e.to_string());
     let stream = TcpStream::connect(address).await.map_err(|e| failed(&e))?;
     let _ = stream.set_nodelay(true);
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -305,7 +305,7 @@
         };
         let guard = || Unit::default().when(rec::grant_key(&row.machine.block), token);
         let Some(rig) = rigs.get(name) else { continue };
-        marks(node, name, row, rig, now, guard(), &mut units);
+        marks(node, &view, name, row, rig, now, guard(), &mut units);
         for (uid, index) in &row.tasks {
             let Some(job) = view.jobs.get(uid) else {
                 continue;
@@ -454,8 +454,10 @@
 }
 
 /// Marks on a machine's record: up, recalled, silent.
+#[allow(clippy::too_many_arguments)]
 fn marks(
     node: &Node,
+    view: &View,
     name: &str,
     row: &crate::view::MachineRow,
     rig: &Rig,
@@ -493,12 +495,45 @@
             _ => {}
         }
     }
+    fetched(view, row, rig, &mut machine);
     if machine != row.machine {
         let key = rec::machine_key(name);
         units.push(guard.when(key.clone(), row.version).put(key, &machine));
     }
 }
 
+/// Notes images that tasks show to be there; the oldest give way once the
+/// machine's cache is full.
+fn fetched(view: &View, row: &crate::view::MachineRow, rig: &Rig, machine: &mut rec::Machine) {
+    for (uid, index) in &row.tasks {
+        let Some(job) = view.jobs.get(uid) else {
+            continue;
+        };
+        let attempt = job.tasks.get(index).map_or(0, |t| t.task.attempt);
+        let spec = &job.job.spec;
+        let there = rig
+            .tasks
+            .get(&(uid.clone(), *index, attempt))
+            .is_some_and(|r| {
+                matches!(
+                    r.state,
+                    TaskState::Waiting | TaskState::Running | TaskState::Saving
+                )
+            });
+        if there && !machine.images.iter().any(|(i, _)| *i == spec.image) {
+            machine.images.push((spec.image.clone(), spec.image_gb));
+        }
+    }
+    let types = view.types.iter().flat_map(|t| &t.types);
+    let cache = types
+        .filter(|t| t.name == machine.kind)
+        .map(|t| t.cache_gb)
+        .fold(0.0, f64::max);
+    while machine.images.len() > 1 && machine.images.iter().map(|i| i.1).sum::<f64>() > cache {
+        machine.images.remove(0);
+    }
+}
+
 /// Picks machines for the tasks assigned to our blocks.
 fn placements(node: &Node) -> Vec<Unit> {
     let view = node.view();
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -524,10 +524,10 @@
                 .slots
                 .iter_mut()
                 .find(|s| Some(&s.name) == hint && s.block == t.task.block);
-            if let Some(slot) = slot {
-                if let Some(finish) = slot.finish(spec, round.averages, round.now) {
-                    slot.place(spec, &finish);
-                }
+            if let Some(slot) = slot
+                && let Some(finish) = slot.finish(spec, round.averages, round.now)
+            {
+                slot.place(spec, &finish);
             }
         }
     }
@@ -685,14 +685,18 @@
             .map(|t| t.boot_s)
             .fold(0.0, f64::max)
     };
-    let mut classes: Vec<_> = view.arrivals.values().collect();
+    let mut classes: Vec<_> = view
+        .arrivals
+        .values()
+        .filter_map(|times| Some((times, times.back()?.1.clone())))
+        .collect();
     classes.sort_by_key(|(_, spec)| (spec.priority, spec.class.clone()));
     for (times, spec) in classes {
         let span = 30_000;
-        let first = times.front().copied().unwrap_or(now);
+        let first = times.front().map_or(now, |t| t.0);
         let known = (now.saturating_sub(first) / span + 1).min(BUCKETS as u64) as usize;
         let mut buckets = vec![0u32; known];
-        for at in times {
+        for (at, _) in times {
             let age = (now.saturating_sub(*at) / span) as usize;
             if let Some(n) = buckets.get_mut(age) {
                 *n += 1;
@@ -700,7 +704,7 @@
         }
         let slowest = view.types.iter().flat_map(|t| &t.types).fold(0.0, |a, t| {
             let allowed = spec.types.as_ref().is_none_or(|n| n.contains(&t.name));
-            match allowed && Amount::of_task(spec).fits(&Amount::of_type(t)) {
+            match allowed && Amount::of_task(&spec).fits(&Amount::of_type(t)) {
                 true => f64::max(a, boot(&t.name)),
                 false => a,
             }
@@ -711,7 +715,7 @@
             _ => 0.0,
         };
         let jobs = fleet::ready_for(rate, slowest, z);
-        for _ in 0..jobs {
+        for (_, spec) in times.iter().rev().cycle().take(jobs as usize) {
             let phantom = Waiting {
                 spec: spec.clone(),
                 at: now,
@@ -1051,6 +1055,7 @@
                     rented: rental.at,
                     up: None,
                     address: String::new(),
+                    images: Vec::new(),
                     taken: None,
                     silent: None,
                 };
@@ -1164,6 +1169,7 @@
                         rented: now.saturating_sub((listed.age_s * 1000.0) as u64),
                         up: None,
                         address: listed.address.clone(),
+                        images: Vec::new(),
                         taken: None,
                         silent: None,
                     };
--- a/crates/rushwalk/src/slots.rs
+++ b/crates/rushwalk/src/slots.rs
@@ -19,7 +19,11 @@
     let mut slot = Slot::new(name, kind, &machine.zone, machine.spot, ready);
     slot.block = machine.block.clone();
     slot.up = machine.up.is_some();
-    let there = row.images.iter().map(|(image, _)| (image.clone(), 0.0));
+    let there = row
+        .machine
+        .images
+        .iter()
+        .map(|(image, _)| (image.clone(), 0.0));
     slot.images = there.collect();
     for (uid, index) in &row.tasks {
         let Some(job) = view.jobs.get(uid) else {
@@ -66,7 +70,7 @@
     let end = match task.ran {
         Some(ran) => ran as f64 / 1000.0 + run,
         None => {
-            let fetch = match machine.images.iter().any(|(i, _)| *i == spec.image) {
+            let fetch = match machine.has(&spec.image) {
                 true => 0.0,
                 false => view.averages.fetch_time(spec.image_gb, kind, 0.0),
             };
--- a/crates/rushwalk/src/view.rs
+++ b/crates/rushwalk/src/view.rs
@@ -22,6 +22,8 @@
 #[derive(Clone)]
 pub struct TaskRow {
     pub version: u64,
+    /// Whether its machine lacked the image when it was placed, if we saw it.
+    cold: Option<bool>,
     pub task: rec::Task,
 }
 
@@ -29,8 +31,6 @@
     pub version: u64,
     pub machine: rec::Machine,
     pub tasks: BTreeSet<(String, u32)>,
-    /// Images it should have, the latest used last, with their sizes.
-    pub images: VecDeque<(String, f64)>,
     /// By how much the prediction missed its latest finished task.
     pub miss_s: f64,
     /// Run times over predicted ones, of its latest finished tasks.
@@ -38,6 +38,10 @@
 }
 
 impl MachineRow {
+    pub fn has(&self, image: &str) -> bool {
+        self.machine.images.iter().any(|(i, _)| i == image)
+    }
+
     /// By how much it is slower than its group. Guesses miss, so less than
     /// half as slow again says nothing.
     pub fn slow(&self) -> f64 {
@@ -69,8 +73,8 @@
     parts: HashMap<String, BTreeMap<u32, (u64, Bits)>>,
     pub troubles: HashMap<String, (u64, rec::Trouble)>,
     pub types: Option<Arc<rec::Types>>,
-    /// Latest arrivals per class (time of day in ms), and the latest job.
-    pub arrivals: HashMap<String, (VecDeque<u64>, Arc<JobSpec>)>,
+    /// Latest arrivals per class (time of day in ms), in their order.
+    pub arrivals: HashMap<String, VecDeque<(u64, Arc<JobSpec>)>>,
     ended: Vec<(String, u32, rec::Task)>,
 }
 
@@ -209,7 +213,6 @@
                             version,
                             machine,
                             tasks: BTreeSet::new(),
-                            images: VecDeque::new(),
                             miss_s: 0.0,
                             ratios: Rolling::default(),
                         };
@@ -282,14 +285,10 @@
             None => {
                 if job.at + 600_000 > now_ms {
                     let spec = job.spec.clone();
-                    let (times, latest) = self
-                        .arrivals
-                        .entry(spec.class.clone())
-                        .or_insert_with(|| (VecDeque::new(), spec.clone()));
-                    *latest = spec;
+                    let times = self.arrivals.entry(spec.class.clone()).or_default();
                     // A listing brings jobs by name, not by time.
-                    let after = times.partition_point(|at| *at <= job.at);
-                    times.insert(after, job.at);
+                    let after = times.partition_point(|(at, _)| *at <= job.at);
+                    times.insert(after, (job.at, spec));
                     if times.len() > ARRIVALS {
                         times.pop_front();
                     }
@@ -309,52 +308,45 @@
             return;
         };
         let name = (uid.to_string(), index);
-        let old = row.tasks.remove(&index).map(|t| t.task);
-        if let Some(m) = old.as_ref().and_then(|t| t.machine.as_ref())
+        let old = row.tasks.remove(&index);
+        if let Some(m) = old.as_ref().and_then(|t| t.task.machine.as_ref())
             && let Some(machine) = self.machines.get_mut(m)
         {
             machine.tasks.remove(&name);
         }
         let Some(task) = task else {
             if let Some(old) = old {
-                self.ended.push((name.0, index, old));
+                self.ended.push((name.0, index, old.task));
             }
             if row.tasks.is_empty() {
                 self.live.remove(uid);
             }
             return;
         };
+        let mut cold = old.as_ref().and_then(|t| t.cold);
         if let Some(m) = &task.machine
             && let Some(machine) = self.machines.get_mut(m)
         {
             machine.tasks.insert(name);
             let spec = &row.job.spec;
-            let first = old.as_ref().is_none_or(|t| t.ran.is_none());
-            if let (Some(ran), true) = (task.ran, first) {
-                let had = machine.images.iter().any(|(i, _)| *i == spec.image);
+            let placed = old.as_ref().is_some_and(|t| t.task.machine.is_none());
+            if placed {
+                cold = Some(!machine.has(&spec.image));
+            }
+            let first = old.as_ref().is_some_and(|t| t.task.ran.is_none());
+            // A gang waits for its others, which says nothing of the fetch.
+            if let (Some(ran), true, Some(cold), 1) = (task.ran, first, cold, spec.tasks) {
                 let seconds = ran.saturating_sub(task.at) as f64 / 1000.0;
-                if old.is_some() && spec.tasks == 1 {
-                    let kind = &machine.machine.kind;
-                    self.averages.started(kind, spec.image_gb, !had, seconds);
-                }
-                machine.images.retain(|(i, _)| *i != spec.image);
-                machine
-                    .images
-                    .push_back((spec.image.clone(), spec.image_gb));
                 let kind = &machine.machine.kind;
-                let types = self.types.iter().flat_map(|t| &t.types);
-                let cache = types
-                    .clone()
-                    .find(|t| t.name == *kind)
-                    .map_or(0.0, |t| t.cache_gb);
-                while machine.images.len() > 1
-                    && machine.images.iter().map(|(_, gb)| gb).sum::<f64>() > cache
-                {
-                    machine.images.pop_front();
-                }
+                self.averages.started(kind, spec.image_gb, cold, seconds);
             }
         }
-        row.tasks.insert(index, TaskRow { version, task });
+        let live = TaskRow {
+            version,
+            cold,
+            task,
+        };
+        row.tasks.insert(index, live);
         self.live.insert(uid.to_string());
     }
 
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -131,6 +131,10 @@
     pub up: Option<u64>,
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub address: String,
+    /// Images it should have, the latest fetched last, with their sizes. Kept
+    /// here because a controller that restarts could not ask for them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub images: Vec<(String, f64)>,
     /// Time of day at which the cloud takes it back, by its notice.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub taken: Option<u64>,
