--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -1038,7 +1038,7 @@
     let (got, txn) = match answer {
         Ok(answer) => {
             let n = answer.machines.len();
-            tracing::info!(request = name, n, of = rental.count, "rented");
+            tracing::info!(request = name, n, of = rental.count, machines = ?answer.machines, ?kind, "rented");
             let view = node.view();
             let mut txn = drop;
             for machine in answer.machines {
