Decide only on a view that is whole

Found by rereading: a new leader, its own key applied ahead of the watch, could miss its predecessor's last assignments and pass a team's limit; a listing of several pages could show a task whose machine it lacked, which then looked abandoned. Leaders and holders now wait until their view has passed their own key, and listings are completed beside the old view.

--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -145,7 +145,9 @@
     /// The token under which this process holds `block`, if it does.
     pub fn token(&self, view: &View, block: &str) -> Option<u64> {
         let (version, grant) = view.grants.get(block)?;
-        (grant.holder == self.me() && grant.nonce == self.nonce && self.loan_valid())
+        // Our own commits are in the view before what came ahead of them.
+        let all_seen = view.whole() && view.revision >= *version;
+        (grant.holder == self.me() && grant.nonce == self.nonce && all_seen && self.loan_valid())
             .then_some(*version)
     }
 
@@ -153,7 +155,10 @@
     pub fn leadership(&self, view: &View) -> Option<u64> {
         let (version, leader) = view.leader.as_ref()?;
         let nonce = lock(&self.leading).nonce;
-        (leader.member == self.me() && Some(leader.nonce) == nonce).then_some(*version)
+        // A new leader must have seen all that its predecessor committed, or
+        // it would count too little against the teams' limits.
+        let all_seen = view.whole() && view.revision >= *version;
+        (leader.member == self.me() && Some(leader.nonce) == nonce && all_seen).then_some(*version)
     }
 
     /// Waits for a view at least as new as this call; false if none came.
--- a/crates/rushwalk/src/sync.rs
+++ b/crates/rushwalk/src/sync.rs
@@ -1,6 +1,7 @@
 //! Keeping the view new, the member lease alive, and a leader elected.
 
 use crate::node::{For, Node, lock, now_ms};
+use crate::view::View;
 use rushwalk_clients::Error;
 use rushwalk_clients::state::Outcome;
 use rushwalk_wire::records::{self as rec, LEADER, ROOT};
@@ -13,9 +14,11 @@
 async fn list(node: &Node) -> Result<(), Error> {
     let sent = Instant::now();
     let (mut items, mut since, mut revision) = (Vec::new(), String::new(), None);
+    let mut last;
     loop {
         let page = node.state.list(ROOT, &since).await?;
         revision.get_or_insert(page.revision);
+        last = page.revision;
         if let Some(last) = page.items.last() {
             since = last.key.clone();
         }
@@ -26,8 +29,20 @@
         }
     }
     // Changes during the listing come again with the watch from its start.
+    // Pages are of different times: until the watch has passed the last of
+    // them, a task may be known whose machine is not, and look abandoned. So
+    // the new view is made beside the old one.
     let revision = revision.unwrap_or(0);
-    node.view().reset(items, revision, now_ms());
+    let mut view = View::listed(items, revision, now_ms());
+    while view.revision < last {
+        let block = Duration::from_millis(100);
+        let call = node
+            .state
+            .changes(ROOT, view.revision, block, node.times.round);
+        let answer = call.await?;
+        view.watch(answer.events, answer.revision, now_ms());
+    }
+    node.view().replace(view);
     tracing::info!(revision, "view listed");
     synced(node, sent);
     Ok(())
@@ -174,9 +189,16 @@
     let txn = {
         let view = node.view();
         let mine = node.leadership(&view).is_some();
-        let uncertain = lock(&node.leading).uncertain;
+        let (uncertain, nonce_known) = {
+            let memory = lock(&node.leading);
+            (memory.uncertain, memory.nonce)
+        };
         match &view.leader {
             // Our own earlier process, or commits of ours that may come late.
+            Some((_, l)) if l.member == node.me() && !mine && Some(l.nonce) == nonce_known => {
+                // Ours, and only not yet caught up with.
+                return;
+            }
             Some((_, l)) if l.member == node.me() && (!mine || uncertain) => {}
             Some(_) => return,
             None => {}
--- a/crates/rushwalk/src/view.rs
+++ b/crates/rushwalk/src/view.rs
@@ -55,6 +55,9 @@
 pub struct View {
     /// All changes up to this revision are in.
     pub revision: u64,
+    /// The newest version taken in, and what must be reached before deciding.
+    newest: u64,
+    floor: u64,
     pub averages: Averages,
     versions: HashMap<String, u64>,
     /// Keys known to be dropped at a revision that the watch has not reached.
@@ -95,6 +98,8 @@
     pub fn new(averages: Averages) -> Self {
         View {
             revision: 0,
+            newest: 0,
+            floor: 0,
             averages,
             versions: HashMap::new(),
             dropped: HashMap::new(),
@@ -118,14 +123,29 @@
         self.versions.get(key).copied().unwrap_or(0)
     }
 
-    /// Replaces everything by a listing whose first page had `revision`.
-    pub fn reset(&mut self, items: Vec<Item>, revision: u64, now_ms: u64) {
-        let averages = std::mem::replace(&mut self.averages, Averages::new(1, 0.0));
-        *self = View::new(averages);
+    /// A view made of a listing whose first page had `revision`.
+    pub fn listed(items: Vec<Item>, revision: u64, now_ms: u64) -> View {
+        let mut view = View::new(Averages::new(1, 0.0));
         for item in items {
-            self.apply(&item.key, Some(item.value), item.version, now_ms);
+            view.apply(&item.key, Some(item.value), item.version, now_ms);
         }
-        self.revision = revision;
+        view.revision = revision;
+        view
+    }
+
+    /// Puts a newly listed view in this one's place; what was learnt stays.
+    pub fn replace(&mut self, mut view: View) {
+        std::mem::swap(&mut self.averages, &mut view.averages);
+        // Commits of ours may be newer than the listing: nothing is decided
+        // before the watch has brought them back.
+        view.floor = self.newest;
+        view.newest = view.newest.max(self.newest);
+        *self = view;
+    }
+
+    /// Whether all that this node ever saw or did is in.
+    pub fn whole(&self) -> bool {
+        self.revision >= self.floor
     }
 
     pub fn watch(&mut self, events: Vec<Event>, revision: u64, now_ms: u64) {
@@ -167,6 +187,7 @@
         if version <= known || version <= self.revision {
             return;
         }
+        self.newest = self.newest.max(version);
         match &value {
             Some(_) => {
                 self.versions.insert(key.to_string(), version);
