--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -7,7 +7,9 @@
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -36,8 +38,17 @@
 
 type Connection = SendRequest<Full<Bytes>>;
 
+/// What an exchange comes to: a status and a body, or nothing.
+pub type Exchange = Pin<Box<dyn Future<Output = Result<(u16, Vec<u8>), Error>> + Send>>;
+
+/// Another way to reach addresses than TCP: for tests.
+pub trait Transport: Send + Sync {
+    fn call(&self, to: SocketAddr, method: Method, path: String, body: Vec<u8>) -> Exchange;
+}
+
 #[derive(Clone, Default)]
 pub struct Http {
+    other: Option<Arc<dyn Transport>>,
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>,
 }
 
@@ -47,6 +58,13 @@
 const MAX_ANSWER: usize = 64 << 20;
 
 impl Http {
+    pub fn over(transport: Arc<dyn Transport>) -> Http {
+        Http {
+            other: Some(transport),
+            ..Http::default()
+        }
+    }
+
     pub async fn call(
         &self,
         address: SocketAddr,
@@ -56,6 +74,13 @@
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), Error> {
         let deadline = tokio::time::Instant::now() + timeout;
+        if let Some(other) = &self.other {
+            let call = other.call(address, method, path.to_string(), body);
+            let answer = tokio::time::timeout_at(deadline, call).await;
+            let (status, body) = answer.map_err(|_| Error::Unknown("timed out".into()))??;
+            let status = StatusCode::from_u16(status).map_err(|e| Error::Unknown(e.to_string()))?;
+            return Ok((status, Bytes::from(body)));
+        }
         let mut sender = match self.take(address) {
             Some(sender) => sender,
             None => tokio::time::timeout_at(deadline, connect(address))
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -8,3 +8,5 @@
 pub mod worker;
 
 pub use http::{Error, Http};
+
+pub use hyper::Method;
--- /dev/null
+++ b/crates/rushwalk/src/days.rs
@@ -0,0 +1,378 @@
+//! Days on paused time: whole controllers against the stand-ins, with crashes,
+//! cuts, lost answers and late messages. The protocol's rules must hold.
+
+use crate::api;
+use crate::node::{Node, start};
+use poem::endpoint::EndpointExt;
+use poem::{Endpoint, IntoResponse, Request};
+use rushwalk_clients::Http;
+use rushwalk_testkit::world::Link;
+use rushwalk_testkit::{Fault, World};
+use rushwalk_wire::jobs::{JobSpec, JobState, Stance};
+use rushwalk_wire::settings::Settings;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+const SETTINGS: &str = include_str!("../../wire/tests/settings.toml");
+const ZONES: [&str; 3] = ["east", "west", "north"];
+
+struct Process {
+    loops: Vec<JoinHandle<()>>,
+    alive: Arc<AtomicBool>,
+    node: Arc<Node>,
+}
+
+struct Day {
+    world: Arc<World>,
+    processes: Vec<Option<Process>>,
+    jobs: BTreeMap<String, JobSpec>,
+}
+
+fn settings(i: usize) -> Settings {
+    let mut settings = Settings::parse(SETTINGS).unwrap();
+    let me = format!("node-{i}");
+    settings.zone = ZONES[i].into();
+    for peer in &mut settings.peers {
+        if peer.member == me {
+            peer.member = settings.member.clone();
+            peer.zone = ZONES[0].into();
+        }
+    }
+    settings.member = me;
+    settings
+}
+
+impl Day {
+    fn new(seed: u64) -> Day {
+        let report = Duration::from_secs(3);
+        let world = World::new(3, seed, report, Duration::from_secs(40));
+        {
+            let mut rules = world.rules();
+            rules.cancel = Duration::from_secs(65);
+            rules.limits.insert("red".into(), 20.0);
+        }
+        let mut day = Day {
+            world,
+            processes: Vec::from([None, None, None]),
+            jobs: BTreeMap::new(),
+        };
+        for i in 0..3 {
+            day.start(i);
+        }
+        day
+    }
+
+    fn start(&mut self, i: usize) {
+        let alive = Arc::new(AtomicBool::new(true));
+        let link = Link {
+            world: self.world.clone(),
+            node: i,
+            alive: alive.clone(),
+        };
+        let node = Node::new(settings(i), Http::over(Arc::new(link))).unwrap();
+        let door = Arc::new(api::routes(node.clone()).map_to_response().boxed());
+        let open = move |method: String, path: String, body: Vec<u8>| {
+            let door = door.clone();
+            let answer = async move {
+                let request = Request::builder()
+                    .method(method.parse().unwrap())
+                    .uri(path.parse().unwrap())
+                    .body(body);
+                let response = match door.call(request).await {
+                    Ok(response) => response,
+                    Err(error) => error.into_response(),
+                };
+                let status = response.status().as_u16();
+                let body = response.into_body().into_bytes().await.unwrap_or_default();
+                (status, body.to_vec())
+            };
+            Box::pin(answer) as std::pin::Pin<Box<dyn Future<Output = _> + Send>>
+        };
+        self.world.clear(Fault::Dead(i));
+        self.world.open(i, node.me(), Arc::new(open));
+        self.processes[i] = Some(Process {
+            loops: start(&node),
+            alive,
+            node,
+        });
+    }
+
+    fn crash(&mut self, i: usize) {
+        self.world.set(Fault::Dead(i));
+        if let Some(process) = self.processes[i].take() {
+            process.alive.store(false, Ordering::Relaxed);
+            process.loops.iter().for_each(JoinHandle::abort);
+        }
+    }
+
+    /// Asks one node after the other, as users do.
+    async fn ask(&self, method: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
+        for attempt in 0..90 {
+            let call = self.world.ask(attempt % 3, method, path, body.to_vec());
+            if let Ok(Some((status, body))) =
+                tokio::time::timeout(Duration::from_secs(5), call).await
+                && !matches!(status, 429 | 503)
+            {
+                return Some((status, body));
+            }
+            sleep(Duration::from_secs(1)).await;
+        }
+        None
+    }
+
+    async fn submit(&mut self, n: u32, shape: &str, tasks: u32, gpus: f64, seconds: f64) -> String {
+        let uid = format!("j-{n:06}");
+        let body = serde_json::json!({"uid": uid, "lane": shape, "crew": "red", "shape": shape,
+            "rank": "normal", "pieces": tasks, "cpus": 1.0, "gpus": gpus, "memoryGb": 1.0,
+            "kit": "i", "sizeGb": 1.0, "together": false, "spread": false, "loaners": false,
+            "guessS": seconds, "waypointS": 0.0, "stashS": 0.0})
+        .to_string();
+        let spec = JobSpec::parse(body.as_bytes()).unwrap();
+        self.world.rules().jobs.insert(uid.clone(), spec.clone());
+        self.jobs.insert(uid.clone(), spec);
+        let (status, _) = self
+            .ask("POST", "/api/jobs", body.as_bytes())
+            .await
+            .unwrap();
+        assert!(matches!(status, 200 | 201), "{uid}: {status}");
+        uid
+    }
+
+    async fn state(&self, uid: &str) -> JobState {
+        let path = format!("/api/jobs/{uid}");
+        let (status, body) = self.ask("GET", &path, b"").await.unwrap();
+        assert_eq!(status, 200, "an accepted job was forgotten: {uid}");
+        let state: JobState = serde_json::from_slice(&body).unwrap();
+        if state.state == Stance::Done {
+            self.world.rules().told_done(uid);
+        }
+        state
+    }
+
+    async fn cancel(&self, uid: &str) {
+        let path = format!("/api/jobs/{uid}/abort");
+        let (status, _) = self.ask("POST", &path, b"").await.unwrap();
+        assert_eq!(status, 200);
+        self.world.rules().told_cancelled(uid);
+    }
+
+    async fn all_done(&self, uids: &[String], within: u64) {
+        for _ in 0..within {
+            let mut open = 0;
+            for uid in uids {
+                open += usize::from(self.state(uid).await.state != Stance::Done);
+            }
+            if open == 0 {
+                return;
+            }
+            sleep(Duration::from_secs(1)).await;
+        }
+        let mut states = Vec::new();
+        for uid in uids {
+            states.push(self.state(uid).await);
+        }
+        panic!("not done after {within} s: {states:?}");
+    }
+
+    async fn pass(&self, seconds: u64) {
+        for _ in 0..seconds {
+            sleep(Duration::from_secs(1)).await;
+            self.world.rules().sweep();
+        }
+    }
+
+    fn check(&self) {
+        let rules = self.world.rules();
+        assert!(rules.broken.is_empty(), "{:#?}", rules.broken);
+        assert!(rules.started > 0, "nothing ran");
+    }
+
+    fn leader(&self) -> usize {
+        let leads = |p: &Option<Process>| {
+            p.as_ref().is_some_and(|p| {
+                let view = p.node.view();
+                p.node.leadership(&view).is_some()
+            })
+        };
+        self.processes.iter().position(leads).unwrap_or(0)
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_quiet_day_runs_all_shapes() {
+    let mut day = Day::new(1);
+    let array = day.submit(1, "sweep", 5, 1.0, 20.0).await;
+    let gang = day.submit(2, "gang", 3, 4.0, 30.0).await;
+    let service = day.submit(3, "standing", 2, 1.0, 0.0).await;
+    day.all_done(&[array, gang], 200).await;
+    assert_eq!(day.state(&service).await.running, 2);
+    day.cancel(&service).await;
+    day.pass(20).await;
+    assert_eq!(day.world.rules().running(), 0);
+    // Nothing is left to do: the machines go back.
+    day.pass(200).await;
+    assert!(day.world.workers().iter().all(|w| w.dead));
+    day.check();
+}
+
+#[tokio::test(start_paused = true)]
+async fn crashes_of_one_then_all_kill_no_task() {
+    let mut day = Day::new(2);
+    let jobs = vec![
+        day.submit(1, "sweep", 8, 1.0, 60.0).await,
+        day.submit(2, "gang", 2, 4.0, 70.0).await,
+    ];
+    day.pass(25).await;
+    let before = day.world.rules().started;
+    assert!(before >= 10, "all run by now: {before}");
+    let leader = day.leader();
+    day.crash(leader);
+    day.pass(5).await;
+    day.start(leader);
+    day.pass(10).await;
+    for i in 0..3 {
+        day.crash(i);
+    }
+    day.pass(5).await;
+    for i in 0..3 {
+        day.start(i);
+    }
+    day.all_done(&jobs, 300).await;
+    assert_eq!(
+        day.world.rules().started,
+        before,
+        "a crash restarted a task"
+    );
+    day.check();
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_cut_off_from_the_state_service_is_replaced() {
+    let mut day = Day::new(3);
+    let service = day.submit(1, "standing", 6, 1.0, 0.0).await;
+    day.pass(25).await;
+    let started = day.world.rules().started;
+    for i in 0..3 {
+        day.world.set(Fault::NoState(i));
+        // Told by another node, the cancellation must reach every task.
+        let extra = day.submit(10 + i as u32, "standing", 3, 1.0, 0.0).await;
+        day.pass(30).await;
+        day.cancel(&extra).await;
+        day.pass(70).await;
+        day.world.clear(Fault::NoState(i));
+        day.pass(20).await;
+    }
+    assert_eq!(day.state(&service).await.running, 6);
+    let again = day.world.rules().started - started;
+    assert_eq!(again, 9, "the first service's tasks ran on");
+    day.check();
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_shorter_than_the_lease_costs_nothing() {
+    let mut day = Day::new(4);
+    let jobs = vec![day.submit(1, "sweep", 6, 1.0, 90.0).await];
+    day.pass(25).await;
+    day.world.set(Fault::Outage);
+    day.pass(25).await;
+    day.world.clear(Fault::Outage);
+    day.all_done(&jobs, 200).await;
+    assert_eq!(day.world.rules().started, 6);
+    day.check();
+}
+
+/// Every message may be lost, late or held, and any controller may end at any
+/// time; the team's work is cancelled and submitted all the while.
+async fn storm(seed: u64) {
+    let mut day = Day::new(seed);
+    day.world.set(Fault::LostAnswers);
+    day.world.set(Fault::LateCommits);
+    let mut open = Vec::new();
+    let mut services = Vec::new();
+    for turn in 0..12u64 {
+        let pick = ((seed * 31 + turn * 7) % 3) as usize;
+        let n = (turn * 10) as u32;
+        open.push(day.submit(n, "sweep", 4, 1.0, 15.0).await);
+        open.push(day.submit(n + 1, "gang", 2, 4.0, 20.0).await);
+        services.push(day.submit(n + 2, "standing", 2, 1.0, 0.0).await);
+        match (seed + turn) % 4 {
+            0 => day.crash(pick),
+            1 => day.world.set(Fault::HeldFromWorkers(pick)),
+            2 => day.world.set(Fault::NoState(pick)),
+            _ => day.world.set(Fault::Outage),
+        }
+        day.pass(12).await;
+        if turn % 2 == 1 {
+            let service = services.remove(0);
+            day.cancel(&service).await;
+        }
+        day.pass(8).await;
+        day.world.clear(Fault::HeldFromWorkers(pick));
+        day.world.clear(Fault::NoState(pick));
+        day.world.clear(Fault::Outage);
+        if day.processes[pick].is_none() {
+            day.start(pick);
+        }
+    }
+    day.world.clear(Fault::LostAnswers);
+    day.world.clear(Fault::LateCommits);
+    for service in services {
+        day.cancel(&service).await;
+    }
+    day.all_done(&open, 600).await;
+    day.pass(70).await;
+    day.check();
+}
+
+#[tokio::test(start_paused = true)]
+async fn storms_break_no_rule() {
+    for seed in 1..=4 {
+        storm(seed).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_of_100_000_tasks_is_accepted_beside_small_ones() {
+    let mut day = Day::new(6);
+    let big = day.submit(1, "sweep", 100_000, 1.0, 5.0).await;
+    let small = vec![day.submit(2, "sweep", 1, 1.0, 5.0).await];
+    day.all_done(&small, 120).await;
+    let state = day.state(&big).await;
+    assert!(state.done > 0 && state.running <= 20, "{state:?}");
+    day.cancel(&big).await;
+    day.pass(20).await;
+    assert_eq!(day.world.rules().running(), 0);
+    day.check();
+}
+
+#[tokio::test(start_paused = true)]
+async fn answers_follow_the_protocols_table() {
+    let mut day = Day::new(7);
+    let known = day.submit(1, "sweep", 1, 1.0, 5.0).await;
+    let status =
+        async |method: &str, path: &str, body: &[u8]| day.ask(method, path, body).await.unwrap().0;
+    assert_eq!(status("POST", "/api/jobs", b"{").await, 400);
+    assert_eq!(status("POST", "/api/jobs", b"[1]").await, 400);
+    assert_eq!(status("POST", "/api/jobs", &[b' '; 70_000]).await, 413);
+    // Known already: never re-validated.
+    let changed = format!(r#"{{"uid":"{known}","pieces":-4}}"#);
+    assert_eq!(status("POST", "/api/jobs", changed.as_bytes()).await, 200);
+    let mut spec = day.jobs[&known].clone();
+    spec.uid = "j-000777".into();
+    spec.gpus = 5.0;
+    let body = serde_json::to_vec(&spec).unwrap();
+    assert_eq!(status("POST", "/api/jobs", &body).await, 422);
+    spec.gpus = 1.0;
+    spec.team = "nobody".into();
+    let body = serde_json::to_vec(&spec).unwrap();
+    assert_eq!(status("POST", "/api/jobs", &body).await, 422);
+    assert_eq!(status("GET", "/api/jobs/j-999999", b"").await, 404);
+    assert_eq!(status("POST", "/api/jobs/j-999999/abort", b"").await, 404);
+    assert_eq!(status("GET", "/nowhere", b"").await, 404);
+    assert_eq!(status("PUT", "/api/jobs", b"").await, 405);
+    assert_eq!(status("POST", "/agent/beat", b"\xff\x00").await, 400);
+}
--- a/crates/rushwalk/src/main.rs
+++ b/crates/rushwalk/src/main.rs
@@ -9,9 +9,13 @@
 mod sync;
 mod view;
 
+#[cfg(test)]
+mod days;
+
 use clap::Parser;
 use node::Node;
 use poem::listener::TcpListener;
+use rushwalk_clients::Http;
 use rushwalk_wire::settings::Settings;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -78,16 +82,9 @@
 async fn serve(settings: Settings) -> Result<(), String> {
     let public = settings.public_addr.clone();
     let mesh = settings.mesh_addr.clone();
-    let node = Node::new(settings).map_err(|e| e.to_string())?;
+    let node = Node::new(settings, Http::default()).map_err(|e| e.to_string())?;
     tracing::info!(member = node.me(), nonce = node.nonce, "started");
-    tokio::spawn(sync::watch_loop(node.clone()));
-    tokio::spawn(sync::fresh_loop(node.clone()));
-    tokio::spawn(sync::member_loop(node.clone()));
-    tokio::spawn(holder::holder_loop(node.clone()));
-    tokio::spawn(holder::fence_loop(node.clone()));
-    tokio::spawn(leader::leader_loop(node.clone()));
-    tokio::spawn(leader::cloud_loop(node.clone()));
-    tokio::spawn(mesh::hello_loop(node.clone()));
+    let _loops = node::start(&node);
     let mesh = poem::Server::new(TcpListener::bind(mesh)).run(mesh::routes(node.clone()));
     let public = poem::Server::new(TcpListener::bind(public)).run(api::routes(node));
     let (public, mesh) = tokio::join!(public, mesh);
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -13,7 +13,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
@@ -74,12 +74,20 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+#[cfg(not(test))]
 pub fn now_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
         .map_or(0, |d| d.as_millis() as u64)
 }
 
+/// In tests the time of day follows the runtime's clock, which is paused.
+#[cfg(test)]
+pub fn now_ms() -> u64 {
+    thread_local!(static START: Instant = Instant::now());
+    1_000_000 + START.with(|s| s.elapsed().as_millis() as u64)
+}
+
 /// Whom a write serves: users' requests go before housekeeping.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum For {
@@ -88,9 +96,22 @@
     Upkeep,
 }
 
+/// Starts all loops of a controller.
+pub fn start(node: &Arc<Node>) -> Vec<tokio::task::JoinHandle<()>> {
+    vec![
+        tokio::spawn(crate::sync::watch_loop(node.clone())),
+        tokio::spawn(crate::sync::fresh_loop(node.clone())),
+        tokio::spawn(crate::sync::member_loop(node.clone())),
+        tokio::spawn(crate::holder::holder_loop(node.clone())),
+        tokio::spawn(crate::holder::fence_loop(node.clone())),
+        tokio::spawn(crate::leader::leader_loop(node.clone())),
+        tokio::spawn(crate::leader::cloud_loop(node.clone())),
+        tokio::spawn(crate::mesh::hello_loop(node.clone())),
+    ]
+}
+
 impl Node {
-    pub fn new(settings: Settings) -> Result<Arc<Node>, rushwalk_clients::Error> {
-        let http = Http::default();
+    pub fn new(settings: Settings, http: Http) -> Result<Arc<Node>, rushwalk_clients::Error> {
         let state: SocketAddr = rushwalk_clients::http::address(&settings.services.state)?;
         let cloud: SocketAddr = rushwalk_clients::http::address(&settings.services.cloud)?;
         let times = Times::new(&settings);
--- /dev/null
+++ b/crates/testkit/src/worker.rs
@@ -0,0 +1,193 @@
+//! A worker: reports, obeys whoever has the highest token, keeps its lease.
+
+use crate::world::World;
+use rushwalk_wire::jobs::parse_task;
+use rushwalk_wire::worker::{
+    Answer, Command, DirectCommands, Elsewhere, ExitCause, Report, TaskReport, TaskState,
+};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+pub struct Worker {
+    pub name: String,
+    pub zone: String,
+    pub address: String,
+    pub session: u64,
+    pub seq: u64,
+    pub token: u64,
+    pub tasks: Vec<Held>,
+    pub last: Instant,
+    pub dead: bool,
+}
+
+pub struct Held {
+    report: TaskReport,
+    started: Instant,
+    runs: Duration,
+}
+
+impl Worker {
+    pub fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.name.clone(),
+            address: self.address.clone(),
+            kind: "box".into(),
+            zone: self.zone.clone(),
+            spot: false,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self.tasks.iter().map(|t| t.report.clone()).collect(),
+        }
+    }
+
+    fn execute(&mut self, world: &World, commands: &[Command]) {
+        for command in commands {
+            match command {
+                Command::Run { piece, attempt } => {
+                    let same = |t: &&Held| t.report.task == *piece;
+                    let known = self.tasks.iter().find(same);
+                    if known.is_some_and(|t| t.report.attempt == *attempt) {
+                        continue;
+                    }
+                    let busy = known.is_some_and(|t| t.report.state != TaskState::Exited);
+                    let Some((uid, index)) = parse_task(piece) else {
+                        continue;
+                    };
+                    let mut rules = world.rules();
+                    let runs = rules.jobs.get(uid).map_or(0.0, |s| s.estimate_s);
+                    let service = rules
+                        .jobs
+                        .get(uid)
+                        .is_some_and(|s| s.shape == rushwalk_wire::jobs::Shape::Service);
+                    if !busy {
+                        rules.starts(uid, index, &self.name);
+                    }
+                    let (state, cause) = match busy {
+                        true => (TaskState::Exited, Some(ExitCause::Busy)),
+                        false => (TaskState::Running, None),
+                    };
+                    let report = TaskReport {
+                        task: piece.clone(),
+                        attempt: *attempt,
+                        state,
+                        cause,
+                        saved: None,
+                    };
+                    let runs = match service {
+                        true => Duration::from_secs(1 << 30),
+                        false => Duration::from_secs_f64(runs),
+                    };
+                    self.tasks.push(Held {
+                        report,
+                        started: Instant::now(),
+                        runs,
+                    });
+                }
+                Command::Stop { piece, attempt, .. } => {
+                    self.exit(world, piece, *attempt, ExitCause::Stopped)
+                }
+                Command::Forget { piece, attempt } => self.tasks.retain(|t| {
+                    (&t.report.task, t.report.attempt) != (piece, *attempt)
+                        || t.report.state != TaskState::Exited
+                }),
+            }
+        }
+    }
+
+    fn exit(&mut self, world: &World, piece: &str, attempt: u64, cause: ExitCause) {
+        for t in &mut self.tasks {
+            let it = t.report.task == piece && t.report.attempt == attempt;
+            if it && t.report.state != TaskState::Exited {
+                t.report.state = TaskState::Exited;
+                t.report.cause = Some(cause);
+                if let Some((uid, index)) = parse_task(piece) {
+                    let done = cause == ExitCause::Done;
+                    world.rules().gone(uid, index, &self.name, done);
+                }
+            }
+        }
+    }
+
+    /// Lets time pass: tasks finish, a lease runs out.
+    pub fn pass(&mut self, world: &World, lease: Duration) {
+        let over =
+            |t: &&Held| t.report.state == TaskState::Running && t.started.elapsed() >= t.runs;
+        let done = self.tasks.iter().filter(over);
+        let done: Vec<_> = done
+            .map(|t| (t.report.task.clone(), t.report.attempt))
+            .collect();
+        for (piece, attempt) in done {
+            self.exit(world, &piece, attempt, ExitCause::Done);
+        }
+        if self.last.elapsed() > lease {
+            self.kill(world);
+            self.session += 1;
+            self.last = Instant::now();
+        }
+    }
+
+    pub fn kill(&mut self, world: &World) {
+        for t in std::mem::take(&mut self.tasks) {
+            if let Some((uid, index)) = parse_task(&t.report.task) {
+                world.rules().gone(uid, index, &self.name, false);
+            }
+        }
+    }
+
+    /// Direct commands: the status, and the report after them.
+    pub fn orders(&mut self, world: &World, orders: &DirectCommands) -> (u16, Report) {
+        if orders.token < self.token || orders.session != self.session {
+            return (409, self.report());
+        }
+        self.token = orders.token;
+        self.execute(world, &orders.commands);
+        (200, self.report())
+    }
+}
+
+/// The life of a worker, from its start until its machine is deleted.
+pub async fn live(world: Arc<World>, index: usize, lease: Duration, every: Duration) {
+    let mut node = 0;
+    loop {
+        sleep(every).await;
+        let (report, sent) = {
+            let mut workers = world.workers();
+            let worker = &mut workers[index];
+            if worker.dead {
+                return;
+            }
+            worker.pass(&world, lease);
+            (worker.report(), Instant::now())
+        };
+        let answer = world.beat(node, &report).await;
+        let mut workers = world.workers();
+        let worker = &mut workers[index];
+        match answer {
+            Some((200, body)) if sent.elapsed() < Duration::from_secs(4) => {
+                let answer: Option<Answer> = serde_json::from_slice(&body).ok();
+                if let Some(answer) = answer
+                    && answer.token >= worker.token
+                    && report.session == worker.session
+                    && !worker.dead
+                {
+                    worker.token = answer.token;
+                    worker.last = sent;
+                    worker.execute(&world, &answer.commands);
+                }
+            }
+            Some((421, body)) => {
+                let to: Option<Elsewhere> = serde_json::from_slice(&body).ok();
+                let named = to.and_then(|t| t.report_to);
+                node = match named.and_then(|n| world.node_named(&n)) {
+                    Some(named) if named != node => named,
+                    _ => (node + 1) % world.nodes_len(),
+                };
+            }
+            _ => node = (node + 1) % world.nodes_len(),
+        }
+    }
+}
