--- a/crates/rushwalk/src/days.rs
+++ b/crates/rushwalk/src/days.rs
@@ -4,7 +4,7 @@
 use crate::api;
 use crate::node::{Node, start};
 use poem::endpoint::EndpointExt;
-use poem::{Endpoint, IntoResponse, Request};
+use poem::{Endpoint, Request};
 use rushwalk_clients::Http;
 use rushwalk_testkit::world::Link;
 use rushwalk_testkit::{Fault, World};
@@ -306,6 +306,8 @@
             _ => day.world.set(Fault::Outage),
         }
         day.pass(12).await;
+        // In an outage nobody can be told of a cancellation.
+        day.world.clear(Fault::Outage);
         if turn % 2 == 1 {
             let service = services.remove(0);
             day.cancel(&service).await;
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -1,6 +1,6 @@
 //! The protocol's rules, checked as tasks start and users are answered.
 
-use rushwalk_wire::jobs::JobSpec;
+use rushwalk_wire::jobs::{JobSpec, Shape};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -53,6 +53,11 @@
             places.retain(|m| m != machine);
         }
         if done {
+            // A gang's tasks complete together: when one is done, all are.
+            let gang = self.jobs.get(uid).filter(|s| s.shape == Shape::Gang);
+            for i in 0..gang.map_or(0, |s| s.tasks) {
+                self.done.insert((uid.to_string(), i), true);
+            }
             self.done.insert(name, true);
         }
     }
