--- a/crates/rushwalk/src/main.rs
+++ b/crates/rushwalk/src/main.rs
@@ -1,5 +1,6 @@
 //! rushwalk: one controller of a cluster scheduler.
 
+mod admin;
 mod api;
 mod holder;
 mod leader;
@@ -12,7 +13,7 @@
 #[cfg(test)]
 mod days;
 
-use clap::Parser;
+use clap::{Parser, Subcommand};
 use node::Node;
 use poem::listener::TcpListener;
 use rushwalk_clients::Http;
@@ -23,31 +24,55 @@
 
 /// Schedules tasks on rented machines, together with the other controllers.
 #[derive(Parser)]
-#[command(version, about)]
+#[command(version, about, subcommand_negates_reqs = true)]
 struct Cli {
     /// The settings file (TOML) handed over by the platform.
-    #[arg(long)]
-    config: PathBuf,
+    #[arg(long, required = true)]
+    config: Option<PathBuf>,
     /// Check the settings and exit.
     #[arg(long)]
     check: bool,
+    #[command(subcommand)]
+    admin: Option<Verb>,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// Ask a running controller, at its mesh address.
+    Admin {
+        /// IP:port, `mesh_addr` in that controller's settings.
+        #[arg(long)]
+        address: String,
+        #[command(subcommand)]
+        what: What,
+    },
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Leader, grants, machines, and why jobs wait.
+    Status,
 }
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let settings = match std::fs::read_to_string(&cli.config) {
+    if let Some(Verb::Admin { address, what }) = cli.admin {
+        return administer(&address, what);
+    }
+    let config = cli.config.unwrap_or_default();
+    let settings = match std::fs::read_to_string(&config) {
         Ok(text) => Settings::parse(&text).map_err(|e| e.to_string()),
         Err(error) => Err(error.to_string()),
     };
     let settings = match settings {
         Ok(settings) => settings,
         Err(error) => {
-            eprintln!("rushwalk: {}: {error}", cli.config.display());
+            eprintln!("rushwalk: {}: {error}", config.display());
             return ExitCode::from(2);
         }
     };
     if cli.check {
-        println!("{}: ok", cli.config.display());
+        println!("{}: ok", config.display());
         return ExitCode::SUCCESS;
     }
     let level = match std::env::var("LOG_LEVEL").as_deref() {
@@ -79,6 +104,26 @@
     }
 }
 
+fn administer(address: &str, what: What) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let answer = match (runtime, what) {
+        (Ok(runtime), What::Status) => runtime.block_on(admin::ask(address)),
+        (Err(error), _) => Err(error.to_string()),
+    };
+    match answer {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("rushwalk: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 async fn serve(settings: Settings) -> Result<(), String> {
     let public = settings.public_addr.clone();
     let mesh = settings.mesh_addr.clone();
--- a/crates/rushwalk/src/mesh.rs
+++ b/crates/rushwalk/src/mesh.rs
@@ -4,7 +4,7 @@
 use crate::node::{Node, lock};
 use poem::http::StatusCode;
 use poem::web::Data;
-use poem::{Body, Endpoint, EndpointExt, Response, Route, handler, post};
+use poem::{Body, Endpoint, EndpointExt, Response, Route, get, handler, post};
 use rushwalk_wire::mesh::{AskJob, Hello, JobAnswer, decode, encode};
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +14,7 @@
     Route::new()
         .at("/mesh/hello", post(greet))
         .at("/mesh/job", post(job))
+        .at("/admin/status", get(crate::admin::status))
         .data(node)
 }
 
