--- a/crates/rushwalk/src/api.rs
+++ b/crates/rushwalk/src/api.rs
@@ -1,6 +1,7 @@
 //! The users' and workers' interface on the public address.
 
 use crate::holder::{self, Reply};
+use crate::mesh;
 use crate::node::{For, Node, now_ms};
 use poem::http::StatusCode;
 use poem::web::{Data, Path};
@@ -9,6 +10,7 @@
 use rushwalk_plan::quota::can_ever_run;
 use rushwalk_wire::MAX_BODY;
 use rushwalk_wire::jobs::{JobSpec, Refusal, is_job_id};
+use rushwalk_wire::mesh::Change;
 use rushwalk_wire::records::{self as rec, Phase};
 use rushwalk_wire::state::Transaction;
 use rushwalk_wire::worker::{Elsewhere, Report};
@@ -70,8 +72,38 @@
         Ok(body) => body,
         Err(response) => return response,
     };
+    if !cut_off(&node) {
+        let response = submit_here(&node, &body).await;
+        if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+            return response;
+        }
+    }
+    passed_on(&node, Change::Submit(body)).await
+}
+
+/// Whether this node has not read the state service for longer than it does
+/// when nothing is asked of it.
+fn cut_off(node: &Node) -> bool {
+    node.state_age() > node.times.round * 4
+}
+
+/// A peer's answer in place of ours, which would be 503.
+async fn passed_on(node: &Node, change: Change) -> Response {
+    match mesh::pass_on(node, &change).await {
+        Some(answer) if answer.status == 429 => {
+            refuse(StatusCode::TOO_MANY_REQUESTS, "too many requests")
+        }
+        Some(answer) => Response::builder()
+            .status(StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY))
+            .content_type("application/json")
+            .body(answer.body),
+        None => not_now("the state service does not answer"),
+    }
+}
+
+pub async fn submit_here(node: &Arc<Node>, body: &[u8]) -> Response {
     // A known job is answered by its state, however the request looks now.
-    let named = serde_json::from_slice::<serde_json::Value>(&body).ok();
+    let named = serde_json::from_slice::<serde_json::Value>(body).ok();
     let uid = named
         .as_ref()
         .and_then(|v| v.get("uid")?.as_str())
@@ -79,10 +111,10 @@
     if let Some(uid) = uid {
         let known = node.view().jobs.contains_key(uid);
         if known {
-            return answer(&node, uid).await;
+            return answer(node, uid).await;
         }
     }
-    let parsed = JobSpec::parse(&body);
+    let parsed = JobSpec::parse(body);
     let refused = match &parsed {
         Ok(spec) => {
             let Some(types) = node.view().types.clone() else {
@@ -131,7 +163,7 @@
                 None => not_now("try again"),
             }
         }
-        Outcome::Conflict => answer(&node, &uid).await,
+        Outcome::Conflict => answer(node, &uid).await,
         Outcome::Refused(error) if error.status() == Some(429) => {
             refuse(StatusCode::TOO_MANY_REQUESTS, "too many submissions")
         }
@@ -156,7 +188,7 @@
     };
     let state = match node.fresh(patience).await {
         true => node.view().state_of(uid),
-        false => match crate::mesh::ask_peers(node, uid).await {
+        false => match mesh::ask_peers(node, uid).await {
             Some(answer) => answer.state,
             None => return not_now("the state service does not answer"),
         },
@@ -174,10 +206,20 @@
 
 #[handler]
 async fn cancel(Path(uid): Path<String>, node: Data<&Arc<Node>>) -> Response {
+    if !cut_off(&node) {
+        let response = cancel_here(&node, &uid).await;
+        if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+            return response;
+        }
+    }
+    passed_on(&node, Change::Cancel(uid)).await
+}
+
+pub async fn cancel_here(node: &Arc<Node>, uid: &str) -> Response {
     for attempt in 0..4 {
         let row = {
             let view = node.view();
-            view.jobs.get(&uid).map(|j| (j.version, j.job.clone()))
+            view.jobs.get(uid).map(|j| (j.version, j.job.clone()))
         };
         let Some((version, job)) = row else {
             if attempt > 0 {
@@ -189,21 +231,21 @@
             continue;
         };
         if job.phase != Phase::Active {
-            return answer(&node, &uid).await;
+            return answer(node, uid).await;
         }
         let over = rec::Job {
             phase: Phase::Cancelled,
             ..job
         };
-        let key = rec::job_key(&uid);
+        let key = rec::job_key(uid);
         let mut txn = Transaction::default().when(&key, version).put(&key, &over);
-        for (part, _) in node.view().part_versions(&uid) {
-            txn = txn.delete(rec::done_key(&uid, part));
+        for (part, _) in node.view().part_versions(uid) {
+            txn = txn.delete(rec::done_key(uid, part));
         }
         match node.commit(txn, For::Users).await {
             Outcome::Done(_) => {
                 tracing::info!(job = uid, "job cancelled");
-                return answer(&node, &uid).await;
+                return answer(node, uid).await;
             }
             Outcome::Conflict => {
                 if !node.fresh(PATIENCE).await {
@@ -221,7 +263,7 @@
 
 #[handler]
 async fn health(node: Data<&Arc<Node>>) -> Response {
-    match crate::mesh::healthy(&node) {
+    match mesh::healthy(&node) {
         true => "ok".into_response(),
         false => not_now("no contact with the state service"),
     }
--- a/crates/rushwalk/src/mesh.rs
+++ b/crates/rushwalk/src/mesh.rs
@@ -5,7 +5,8 @@
 use poem::http::StatusCode;
 use poem::web::Data;
 use poem::{Body, Endpoint, EndpointExt, Response, Route, get, handler, post};
-use rushwalk_wire::mesh::{AskJob, Hello, JobAnswer, decode, encode};
+use rushwalk_wire::MAX_BODY;
+use rushwalk_wire::mesh::{AskJob, Change, Changed, Hello, JobAnswer, decode, encode};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -14,6 +15,7 @@
     Route::new()
         .at("/mesh/hello", post(greet))
         .at("/mesh/job", post(job))
+        .at("/mesh/change", post(take_change))
         .at("/admin/status", get(crate::admin::status))
         .data(node)
 }
@@ -56,19 +58,59 @@
     Response::builder().body(encode(&JobAnswer { state }))
 }
 
+/// Peers that lately reached the state service.
+fn able(node: &Node) -> Vec<String> {
+    let limit = node.times.round * 4;
+    let peers = lock(&node.peers);
+    let able = |p: &&rushwalk_wire::settings::Peer| {
+        peers.get(&p.member).is_some_and(|(at, hello)| {
+            at.elapsed() < limit && Duration::from_millis(hello.state_age_ms) < limit
+        })
+    };
+    let list = node.settings.peers.iter().filter(able);
+    list.map(|p| p.endpoint.clone()).collect()
+}
+
+#[handler]
+async fn take_change(body: Body, node: Data<&Arc<Node>>) -> Response {
+    // A submission of the largest size, in CBOR's clothes.
+    let body = match body.into_bytes_limit(4 * MAX_BODY).await {
+        Ok(body) => body,
+        Err(_) => return Response::builder().status(StatusCode::BAD_REQUEST).finish(),
+    };
+    // Carried out here or not at all: a change is passed on once.
+    let answer = match decode::<Change>(&body) {
+        Some(Change::Submit(body)) => api::submit_here(&node, &body).await,
+        Some(Change::Cancel(uid)) => api::cancel_here(&node, &uid).await,
+        None => return Response::builder().status(StatusCode::BAD_REQUEST).finish(),
+    };
+    let status = answer.status().as_u16();
+    let body = answer.into_body().into_bytes().await.unwrap_or_default();
+    Response::builder().body(encode(&Changed {
+        status,
+        body: body.to_vec(),
+    }))
+}
+
+/// Passes a change on to a peer; `None` if none could carry it out. If the
+/// answer is lost it may have been: as with any lost answer, users ask again.
+pub async fn pass_on(node: &Node, change: &Change) -> Option<Changed> {
+    for endpoint in able(node).iter().take(2) {
+        let call = node
+            .mesh
+            .ask::<_, Changed>(endpoint, "/mesh/change", change, node.times.round);
+        if let Ok(answer) = call.await
+            && answer.status < 500
+        {
+            return Some(answer);
+        }
+    }
+    None
+}
+
 /// Asks the peers that reach the state service; `None` if none answers.
 pub async fn ask_peers(node: &Node, uid: &str) -> Option<JobAnswer> {
-    let limit = node.times.round * 2;
-    let able: Vec<String> = {
-        let peers = lock(&node.peers);
-        let able = |p: &&rushwalk_wire::settings::Peer| {
-            peers.get(&p.member).is_some_and(|(at, hello)| {
-                at.elapsed() < limit * 2 && Duration::from_millis(hello.state_age_ms) < limit
-            })
-        };
-        let list = node.settings.peers.iter().filter(able);
-        list.map(|p| p.endpoint.clone()).collect()
-    };
+    let able = able(node);
     let question = AskJob { uid: uid.into() };
     for endpoint in able.iter().take(2) {
         let patience = node.times.round / 2;
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -24,6 +24,21 @@
     pub state: Option<crate::jobs::JobState>,
 }
 
+/// A user's change that a node can't commit itself: a submission, or the
+/// cancellation of a job.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub enum Change {
+    Submit(Vec<u8>),
+    Cancel(String),
+}
+
+/// What the peer would have answered that user.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct Changed {
+    pub status: u16,
+    pub body: Vec<u8>,
+}
+
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     let mut out = Vec::new();
     // Writing to memory fails only for types CBOR cannot hold; ours it can.
