--- a/crates/plan/src/amount.rs
+++ b/crates/plan/src/amount.rs
@@ -49,6 +49,19 @@
         .fold(0.0, f64::max)
     }
 
+    /// The least share that is left of any resource of `whole`.
+    pub fn least_share_of(&self, whole: &Amount) -> f64 {
+        [
+            (self.cpus, whole.cpus),
+            (self.gpus, whole.gpus),
+            (self.memory_gb, whole.memory_gb),
+        ]
+        .into_iter()
+        .filter(|(_, whole)| *whole > 0.0)
+        .map(|(part, whole)| part / whole)
+        .fold(1.0, f64::min)
+    }
+
     /// How many of this fit into `room`, at most `most`.
     pub fn times_in(&self, room: &Amount, most: u32) -> u32 {
         let share = self.share_of(room);
--- a/crates/rushwalk/src/fleet.rs
+++ b/crates/rushwalk/src/fleet.rs
@@ -54,7 +54,6 @@
         ops.extend(overdue(&view, &mut memory, &mut round, &types, now));
         ops
     };
-    let quiet = ops.is_empty();
     let expected = spare(&node.view(), &types, now);
     for some in expected.chunks(AT_ONCE) {
         round.run(some);
@@ -64,8 +63,8 @@
     let view = node.view();
     let mut memory = lock(&node.leading);
     ops.extend(idle(&view, &mut memory, &round));
-    if quiet && rent.is_empty() {
-        ops.extend(gather(&view, &mut memory, &mut round, &types));
+    if rent.is_empty() {
+        ops.extend(shrink(&view, &mut memory, &mut round, &types, now));
     }
     ops.extend(rent);
     ops
@@ -504,85 +503,117 @@
     ops
 }
 
-/// Machines looked at in one round for whether they can be emptied.
-const GATHERED: usize = 6;
+/// Machines looked at in one round for whether the others can do without them.
+const LOOKED_AT: usize = 16;
+/// Share of a machine above which it is not worth emptying.
+const WELL_USED: f64 = 0.7;
 
-/// Empties a machine that holds few services by moving them to others where
-/// their images are, once room beyond the expected arrivals allows it.
-fn gather(
+/// Gives back room that nothing needs but that no machine is free of: whose
+/// tasks would all find a place now on other machines in use, beside what is
+/// waiting and expected, takes no more tasks. Batch tasks end where they are;
+/// services move, a machine's at a time, where their images are already.
+fn shrink(
     view: &View,
     memory: &mut LeaderMemory,
     round: &mut Round,
     types: &Types,
-) -> Option<Op> {
+    now: u64,
+) -> Vec<Op> {
     let boot = |kind: &str| {
-        let kind = types.types.iter().find(|t| t.name == kind);
+        let kind = types.types.iter().find(|t| *t.name == *kind);
         kind.map_or(60.0, |t| t.boot_s)
     };
-    let shortest = types.types.iter().map(|t| t.boot_s).fold(60.0, f64::min);
-    let wait = Duration::from_secs_f64(0.3 * shortest);
-    if memory.gathered.is_some_and(|at| at.elapsed() < wait) {
-        return None;
+    let mut candidates: Vec<(f64, usize)> = Vec::new();
+    for (i, slot) in round.slots.iter().enumerate() {
+        let Some(row) = view.machines.get(&slot.name) else {
+            continue;
+        };
+        // What is planned for it beside its tasks must not be lost.
+        let fixed = slot.up && slot.tasks > 0 && slot.tasks == row.tasks.len();
+        let used = 1.0 - slot.free_at(round.now).least_share_of(&slot.whole);
+        if fixed && used < WELL_USED {
+            candidates.push((used / slot.price, i));
+        }
     }
-    let mut candidates: Vec<_> = view
-        .machines
-        .iter()
-        .filter(|(_, row)| row.machine.stage == Stage::Use && !row.tasks.is_empty())
-        .filter(|(_, row)| row.machine.up.is_some() && row.machine.silent.is_none())
-        .collect();
-    candidates.sort_by_key(|(_, row)| row.tasks.len());
-    for (name, row) in candidates.into_iter().take(GATHERED) {
+    // The dearest for what is on it first.
+    candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut drained = Vec::new();
+    for (_, i) in candidates.into_iter().take(LOOKED_AT) {
+        let name = round.slots[i].name.clone();
+        let Some(row) = view.machines.get(&name) else {
+            continue;
+        };
+        let Some((moving, tasks)) = leaving(view, row, types, now) else {
+            continue;
+        };
         let wait = Duration::from_secs_f64(0.3 * boot(&row.machine.kind));
-        if memory.gathered.is_some_and(|at| at.elapsed() < wait) {
-            return None;
-        }
-        let services: Option<Vec<Waiting>> = row
-            .tasks
-            .iter()
-            .map(|(uid, index)| {
-                let job = view.jobs.get(uid)?;
-                let task = &job.tasks.get(index)?.task;
-                let movable = job.spec.shape == Shape::Service
-                    && job.phase == Phase::Active
-                    && task.ran.is_some()
-                    && task.stop.is_none();
-                let mut waiting = slots::waiting(view, &job.spec, types);
-                for (i, t) in &job.tasks {
-                    if i != index {
-                        waiting.places.add(zone_of(&t.task.block));
-                    }
-                }
-                waiting.avoid = vec![name.clone()];
-                movable.then_some(waiting)
-            })
-            .collect();
-        let Some(services) = services else { continue };
-        // What is planned for this machine beside its tasks must not be lost.
-        let planned = round.slots.iter().find(|s| s.name == *name);
-        if planned.is_none_or(|s| s.tasks > row.tasks.len()) {
+        if moving && memory.gathered.is_some_and(|at| at.elapsed() < wait) {
             continue;
         }
         let mut before: Vec<(usize, Slot)> = Vec::new();
-        let fits = services.iter().all(|job| {
-            let Some((i, finish)) = round.best(job, true) else {
+        let fits = tasks.iter().all(|job| {
+            let Some((to, finish)) = round.best(job, true) else {
                 return false;
             };
             let warm = finish.runs <= round.now + job.overhead_s + 0.1;
-            let slot = &mut round.slots[i];
-            before.push((i, slot.clone()));
+            let slot = &mut round.slots[to];
+            before.push((to, slot.clone()));
             let used = slot.tasks > 0;
             slot.place(job, &finish);
-            warm && used
+            used && (warm || job.spec.shape != Shape::Service)
         });
         if fits {
-            memory.gathered = Some(Instant::now());
-            let tasks = row.tasks.len();
-            tracing::info!(machine = &**name, tasks, "machine emptied");
-            return Some(Op::Stage(Stage::Drain, vec![name.clone()]));
+            // No place for those that come after it in this round.
+            round.slots[i].up = false;
+            if moving {
+                memory.gathered = Some(Instant::now());
+            }
+            drained.push(name);
+        } else {
+            for (to, slot) in before.into_iter().rev() {
+                round.slots[to] = slot;
+            }
+        }
+    }
+    if drained.is_empty() {
+        return Vec::new();
+    }
+    tracing::info!(machines = ?drained, "machines emptied");
+    vec![Op::Stage(Stage::Drain, drained)]
+}
+
+/// A machine's tasks as if they waited, and whether services are among them;
+/// `None` if it should stay as it is: gangs need the room that they have, and
+/// what has just started is not disturbed.
+fn leaving(
+    view: &View,
+    row: &crate::view::MachineRow,
+    types: &Types,
+    now: u64,
+) -> Option<(bool, Vec<Waiting>)> {
+    let mut moving = false;
+    let mut out = Vec::new();
+    for (uid, index) in &row.tasks {
+        let job = view.jobs.get(uid)?;
+        let task = &job.tasks.get(index)?.task;
+        let service = job.spec.shape == Shape::Service;
+        let settled = task.ran.is_some_and(|ran| now > ran + SETTLED_MS);
+        let open = job.phase == Phase::Active && task.stop.is_none();
+        if !open || job.spec.shape == Shape::Gang || (service && !settled) {
+            return None;
         }
-        for (i, slot) in before.into_iter().rev() {
-            round.slots[i] = slot;
+        moving |= service;
+        let mut waiting = slots::waiting(view, &job.spec, types);
+        for (i, t) in &job.tasks {
+            if i != index {
+                waiting.places.add(zone_of(&t.task.block));
+            }
         }
+        waiting.avoid = vec![task.machine.clone()?];
+        out.push(waiting);
     }
-    None
+    Some((moving, out))
 }
+
+/// A start that is stopped within this time does not count for the users.
+const SETTLED_MS: u64 = 30_000;
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -167,6 +167,17 @@
                 }
                 Some(r) => {
                     if r.state == TaskState::Running && t.task.ran.is_none() {
+                        let (class, since) = (&job.spec.class, now.saturating_sub(job.at));
+                        let placed_ms = now.saturating_sub(t.task.at);
+                        tracing::debug!(
+                            task = r.task,
+                            machine = &**name,
+                            class,
+                            since,
+                            placed_ms,
+                            image_gb = job.spec.image_gb,
+                            "task runs"
+                        );
                         let key = (uid.clone(), attempt);
                         out.ran.entry(key).or_default().push(*index);
                     }
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -272,8 +272,9 @@
     ops
 }
 
-/// Whether a task should leave its machine, which is being taken back: one
-/// that saves, a service, and what would not be finished in time. Others stay.
+/// Whether a task should leave its machine: a service always, others if it is
+/// being taken back and they save, or would not be finished by then. On one that
+/// is only to be given back they run to their end.
 fn drains(
     view: &View,
     job: &JobRow,
@@ -281,12 +282,12 @@
     row: &crate::view::MachineRow,
     now: u64,
 ) -> bool {
-    if job.spec.shape == Shape::Service || job.spec.checkpoint_s > 0.0 {
+    if job.spec.shape == Shape::Service {
         return true;
     }
     row.machine.taken.is_some_and(|taken| {
         let end = slots::predicted_end(view, job, t, row, now as f64 / 1000.0);
-        end > taken as f64 / 1000.0
+        job.spec.checkpoint_s > 0.0 || end > taken as f64 / 1000.0
     })
 }
 
