Silent machines keep their tasks until their lease has surely run out

After 31 s of silence a third of the fleet was deleted, though its tasks went on behind the cut (a holder answers for 20 s, the lease lasts 42 s more). Now the holder declares tasks gone when nobody can have renewed the lease, and the machine stays. A cut-off block is lent on only once meanwhile, for each new holder must wait anew.

--- a/crates/rushwalk/src/api.rs
+++ b/crates/rushwalk/src/api.rs
@@ -16,6 +16,7 @@
 use serde::Serialize;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::timeout;
 
 pub fn routes(node: Arc<Node>) -> impl Endpoint {
     Route::new()
@@ -71,13 +72,41 @@
         Ok(body) => body,
         Err(response) => return response,
     };
-    if !cut_off(&node) {
-        let response = submit_here(&node, &body).await;
-        if response.status() != StatusCode::SERVICE_UNAVAILABLE {
-            return response;
+    let change = Change::Submit(body.clone());
+    here_or_there(&node, submit_here(&node, &body), &change).await
+}
+
+/// Carries a change out here; by a peer if that is refused, and beside it if it
+/// takes long. Both may do it: the second time changes nothing.
+async fn here_or_there(
+    node: &Node,
+    here: impl Future<Output = Response>,
+    change: &Change,
+) -> Response {
+    let refused = |r: &Response| r.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let mut late = cut_off(node);
+    let mut here = std::pin::pin!(here);
+    if !late {
+        match timeout(node.times.round / 6, &mut here).await {
+            Ok(response) if !refused(&response) => return response,
+            Ok(_) => late = true,
+            Err(_) => {}
         }
     }
-    passed_on(&node, Change::Submit(body)).await
+    if late {
+        return passed_on(node, change).await;
+    }
+    let mut there = std::pin::pin!(passed_on(node, change));
+    tokio::select! {
+        response = &mut here => match refused(&response) {
+            true => there.await,
+            false => response,
+        },
+        response = &mut there => match refused(&response) {
+            true => here.await,
+            false => response,
+        },
+    }
 }
 
 /// Whether this node has not read the state service for longer than it does
@@ -87,8 +116,8 @@
 }
 
 /// A peer's answer in place of ours, which would be 503.
-async fn passed_on(node: &Node, change: Change) -> Response {
-    match mesh::pass_on(node, &change).await {
+async fn passed_on(node: &Node, change: &Change) -> Response {
+    match mesh::pass_on(node, change).await {
         Some(answer) if answer.status == 429 => {
             refuse(StatusCode::TOO_MANY_REQUESTS, "too many requests")
         }
@@ -213,13 +242,8 @@
 
 #[handler]
 async fn cancel(Path(uid): Path<String>, node: Data<&Arc<Node>>) -> Response {
-    if !cut_off(&node) {
-        let response = cancel_here(&node, &uid).await;
-        if response.status() != StatusCode::SERVICE_UNAVAILABLE {
-            return response;
-        }
-    }
-    passed_on(&node, Change::Cancel(uid)).await
+    let change = Change::Cancel(uid.clone());
+    here_or_there(&node, cancel_here(&node, &uid), &change).await
 }
 
 pub async fn cancel_here(node: &Arc<Node>, uid: &str) -> Response {
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -142,6 +142,7 @@
             continue;
         };
         marks(node, name, row, rig, &mut out);
+        let lost = row.machine.silent.is_some() && rig.lease_over(&node.times);
         for (uid, index) in &row.tasks {
             let Some(job) = view.jobs.get(uid) else {
                 continue;
@@ -151,6 +152,11 @@
             };
             let attempt = t.task.attempt;
             let active = job.phase == Phase::Active;
+            if lost {
+                tracing::info!(job = &**uid, index, machine = &**name, "lease ran out");
+                out.ends(uid, attempt, How::Gone, *index);
+                continue;
+            }
             match rig.says(uid, *index, attempt) {
                 Some(r) if r.state == TaskState::Exited => {
                     let how = match r.cause {
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -151,21 +151,22 @@
             .is_some_and(|m| *m.zone == *zone);
         let home = view.members.iter().find(|(_, m)| *m.zone == *zone);
         // A holder that hears nothing of most of its machines is cut off from
-        // them: another may reach them. Not twice within the silence.
+        // them: another may reach them. Only once while their leases last:
+        // if that one hears nothing either, the machines are cut off, and each
+        // new holder would have to wait anew for their leases to run out.
         let cut = valid && mostly_silent(&view, &block);
         let lately = memory
             .moved
             .get(&block)
-            .is_some_and(|at| at.elapsed() < node.times.silent * 3);
+            .is_some_and(|at| at.elapsed() < node.times.lease + node.times.loan);
         let to = if cut && !lately {
             let holder = grant.map(|(_, g)| &g.holder);
             let others = view.members.keys().filter(|m| Some(*m) != holder);
             let Some(to) = others.min_by_key(|m| load.get(m).copied().unwrap_or(0)) else {
                 continue;
             };
-            memory.moved.insert(block.clone(), Instant::now());
             to.clone()
-        } else if valid && (cut || lately) {
+        } else if valid && cut {
             continue;
         } else {
             match home {
@@ -185,6 +186,9 @@
         let Some(member) = view.members.get(&to) else {
             continue;
         };
+        if grant.is_some() {
+            memory.moved.insert(block.clone(), Instant::now());
+        }
         tracing::info!(block = &*block, to, "block lent");
         let key = rec::grant_key(&block);
         let grant = rec::Grant {
@@ -311,11 +315,11 @@
     let silent = m.silent?;
     // Spot machines that fall silent were mostly taken without notice. Others
     // rarely die, and so do whole blocks: that is rather a cut, behind which
-    // the tasks go on until the worker's lease runs out. Then all is lost
-    // anyway; a little earlier is the better guess for services.
+    // the tasks go on. Until their lease runs out they are not given up, and
+    // then the machine may yet come back, empty but with its images.
     let patience = match m.spot && !mostly_silent(view, &m.block) {
         true => Duration::ZERO,
-        false => (node.times.lease * 3 / 4).saturating_sub(node.times.silent),
+        false => 2 * node.times.lease + node.times.loan,
     };
     (now >= silent + patience.as_millis() as u64).then_some("it is silent")
 }
--- a/crates/rushwalk/src/rigs.rs
+++ b/crates/rushwalk/src/rigs.rs
@@ -1,6 +1,6 @@
 //! What workers last said, and what they are told.
 
-use crate::node::{Node, lock, now_ms};
+use crate::node::{Node, Times, lock, now_ms};
 use crate::view::{Name, View};
 use rushwalk_wire::jobs::{parse_task, task_name};
 use rushwalk_wire::records::Phase;
@@ -50,6 +50,9 @@
     /// Report whose answer carried starts; a report that was already under
     /// way elsewhere does not show their effect.
     answered: Option<u64>,
+    /// When we last answered a report of it, which renews its lease from the
+    /// time at which the report was sent.
+    renewed: Option<Instant>,
     /// The token under which it is looked after, and since when.
     pub since: Option<(u64, Instant)>,
     pub sent_at: Option<Instant>,
@@ -94,6 +97,19 @@
         }
     }
 
+    /// Whether its worker's lease has surely run out, and all tasks with it.
+    /// Nobody can have renewed it later than we did, but an earlier holder that
+    /// does not know of us, for as long as a block is lent. All clocks may drift;
+    /// our own answers may have been late by a part of a report interval.
+    pub fn lease_over(&self, times: &Times) -> bool {
+        let Some((_, since)) = self.since else {
+            return false;
+        };
+        let last = (since + times.loan).max(self.renewed.unwrap_or(since));
+        let last = last.max(self.heard.unwrap_or(since));
+        last.elapsed() > times.lease.mul_f64(1.002) + times.report / 4
+    }
+
     pub fn says(&self, uid: &str, index: u32, attempt: u64) -> Option<&TaskReport> {
         let same = |s: &&Said| s.index == index && s.report.attempt == attempt && *s.uid == *uid;
         self.tasks.iter().find(same).map(|s| &s.report)
@@ -221,5 +237,36 @@
     if commands.iter().any(|c| matches!(c, Command::Run { .. })) {
         rig.answered = Some(report.seq);
     }
+    rig.renewed = Some(Instant::now());
     Reply::Here(Answer { token, commands })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    /// Declaring tasks gone a moment too soon would run them twice.
+    #[tokio::test(start_paused = true)]
+    async fn a_lease_is_over_only_when_nobody_can_have_renewed_it() {
+        let text = include_str!("../../wire/tests/settings.toml");
+        let settings = rushwalk_wire::settings::Settings::parse(text).unwrap();
+        let times = Times::new(&settings);
+        let (lease, loan) = (times.lease, times.loan);
+        let mut rig = Rig::default();
+        assert!(!rig.lease_over(&times), "never looked after");
+        rig.since = Some((7, Instant::now()));
+        tokio::time::advance(lease + Duration::from_secs(2)).await;
+        assert!(
+            !rig.lease_over(&times),
+            "an earlier holder may have answered"
+        );
+        tokio::time::advance(loan).await;
+        assert!(rig.lease_over(&times));
+        rig.renewed = Some(Instant::now());
+        tokio::time::advance(lease).await;
+        assert!(!rig.lease_over(&times), "clocks drift");
+        tokio::time::advance(Duration::from_secs(1)).await;
+        assert!(rig.lease_over(&times));
+    }
+}
