Lending has its own loop; a round gives way less often on a busy thread

The leader lent some blocks at once, the others only 30 s later: hundreds of workers without a holder asked again each second, and each of the round's 25 yields waited for all of them. All leases ran out.

--- a/crates/rushwalk/src/fleet.rs
+++ b/crates/rushwalk/src/fleet.rs
@@ -22,8 +22,9 @@
 /// Tasks planned in a round, for all jobs and for one; the rest comes next.
 const PLANNED: usize = 3000;
 const PLANNED_EACH: usize = 160;
-/// Jobs planned before the others on this thread have their turn.
-const AT_ONCE: usize = 8;
+/// Jobs planned before the others on this thread have their turn. On a busy
+/// thread a turn comes late, so a round must not take many.
+const AT_ONCE: usize = 64;
 
 /// One round of placing and sizing.
 pub async fn plan(node: &Node) -> Vec<Op> {
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -63,6 +63,27 @@
     }
 }
 
+/// Lending has a loop of its own: while blocks have no holder their workers ask
+/// again every second, and a controller that is busy refusing them finds no time
+/// for its rounds. That once kept blocks without a holder until all leases ran
+/// out.
+pub async fn lend_loop(node: Arc<Node>) {
+    loop {
+        sleep(node.times.round / 4).await;
+        let leading = {
+            let view = node.view();
+            node.leadership(&view)
+        };
+        if let Some(version) = leading
+            && !lock(&node.leading).uncertain
+            && let Some(txn) = lend(&node, version)
+        {
+            commit(&node, txn, For::Work).await;
+            node.fresh(node.times.round).await;
+        }
+    }
+}
+
 /// Appends to the log under our leadership; false if it should not go on.
 pub async fn append(node: &Node, version: u64, ops: &[Op], whom: For) -> bool {
     if ops.is_empty() {
@@ -92,12 +113,6 @@
 }
 
 async fn round(node: &Arc<Node>, version: u64) {
-    let lending = lend(node, version);
-    if let Some(txn) = lending
-        && !commit(node, txn, For::Work).await
-    {
-        return;
-    }
     let mut ops = upkeep(node);
     let leads = |node: &Node| {
         let view = node.view();
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -116,6 +116,7 @@
         tokio::spawn(crate::holder::holder_loop(node.clone())),
         tokio::spawn(crate::holder::fence_loop(node.clone())),
         tokio::spawn(crate::leader::leader_loop(node.clone())),
+        tokio::spawn(crate::leader::lend_loop(node.clone())),
         tokio::spawn(crate::cloud::cloud_loop(node.clone())),
         tokio::spawn(crate::snapshot::snapshot_loop(node.clone())),
         tokio::spawn(crate::mesh::hello_loop(node.clone())),
