--- a/crates/plan/src/slot.rs
+++ b/crates/plan/src/slot.rs
@@ -43,6 +43,9 @@
     pub finish: f64,
 }
 
+/// How much a predicted wait for other tasks' ends counts.
+const PENDING: f64 = 2.0;
+
 impl Slot {
     pub fn new(
         name: Arc<str>,
@@ -136,8 +139,11 @@
         let fetch = (image - from).max(0.0);
         let mut start = self.earliest(&job.amount, now, job.overhead_s + fetch + run)?;
         if start > now && self.up {
-            // Only a machine with pending tasks has a pending error.
-            start = (start + self.pending_error).max(now + job.overhead_s);
+            // Only a machine with pending tasks has a pending error. A wait for
+            // others' ends is not known like a fetch: ends that come early help
+            // little, late ones add up, so it counts more than its length.
+            let wait = (start - now) * PENDING + self.pending_error;
+            start = now + wait.max(job.overhead_s);
         }
         // An image is fetched from the task's start on, unless it is there or
         // under way for another.
