--- a/crates/plan/src/fleet.rs
+++ b/crates/plan/src/fleet.rs
@@ -14,8 +14,30 @@
     }
 }
 
-/// How many arrivals to be ready for: the expected number and `z` deviations.
-pub fn ready_for(rate: f64, lead_s: f64, z: f64) -> u32 {
+/// When the arrivals to be ready for come, in seconds from now: `z` deviations
+/// at once, for arrivals come in heaps, and the expected number evenly over the
+/// lead. What ends meanwhile makes room for those: planning all of them for now
+/// kept nearly twice the fleet that short tasks need.
+pub fn arrivals(rate: f64, lead_s: f64, z: f64) -> Vec<f64> {
     let expected = rate * lead_s;
-    (expected + z * expected.sqrt()).round() as u32
+    let sudden = (z * expected.sqrt()).round() as usize;
+    let steady = expected.round() as usize;
+    let spread = (0..steady).map(|i| lead_s * (i as f64 + 0.5) / expected);
+    std::iter::repeat_n(0.0, sudden).chain(spread).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_largest_count_is_no_rate_and_arrivals_spread_over_the_lead() {
+        assert_eq!(rate(&[300], 30.0), 0.0);
+        assert_eq!(rate(&[30, 300, 30], 30.0), 1.0);
+        let at = arrivals(1.0, 16.0, 1.0);
+        assert_eq!(at.len(), 20);
+        assert_eq!(&at[..4], &[0.0; 4]);
+        assert_eq!(&at[4..6], &[0.5, 1.5]);
+        assert!(arrivals(0.0, 16.0, 1.0).is_empty());
+    }
 }
--- a/crates/plan/src/round.rs
+++ b/crates/plan/src/round.rs
@@ -54,7 +54,10 @@
 }
 
 pub struct Round<'a> {
+    /// The time for which tasks are planned.
     pub now: f64,
+    /// The time at which a machine rented now begins to boot.
+    pub clock: f64,
     pub slots: Vec<Slot>,
     pub offers: Vec<Offer>,
     pub teams: &'a [Team],
@@ -186,7 +189,7 @@
             if zone.is_some_and(|z| *z != *offer.zone) || !job.places.allows(spec, &offer.zone) {
                 continue;
             }
-            let ready = self.now + offer.kind.boot_s * self.boot_factor;
+            let ready = self.clock + offer.kind.boot_s * self.boot_factor;
             let zone = offer.zone.clone();
             let slot = Slot::new("".into(), offer.group, &offer.kind, zone, offer.spot, ready);
             if !slot.allowed(spec) {
@@ -474,6 +477,7 @@
         }
         Round {
             now: 100.0,
+            clock: 100.0,
             rent_from: slots.len(),
             slots,
             offers: Vec::new(),
--- a/crates/plan/src/slot.rs
+++ b/crates/plan/src/slot.rs
@@ -19,6 +19,8 @@
     pub ready: f64,
     /// False for a machine that boots, or is only about to be rented.
     pub up: bool,
+    /// It takes nothing more in this plan.
+    pub closed: bool,
     pub whole: Amount,
     /// Images it has or fetches, and from when on each is there. Treating one
     /// under way as there made tasks wait for machines that still booted.
@@ -64,6 +66,7 @@
             spot,
             ready,
             up: false,
+            closed: false,
             whole: Amount::of_type(kind),
             images: Vec::new(),
             price: match spot {
@@ -183,7 +186,8 @@
     }
 
     pub fn allowed(&self, spec: &JobSpec) -> bool {
-        (spec.spot || !self.spot)
+        !self.closed
+            && (spec.spot || !self.spot)
             && spec.zone.as_ref().is_none_or(|z| **z == *self.zone)
             && spec
                 .types
--- a/crates/rushwalk/src/fleet.rs
+++ b/crates/rushwalk/src/fleet.rs
@@ -56,21 +56,62 @@
         ops
     };
     let expected = spare(&node.view(), &types, now);
-    for some in expected.chunks(AT_ONCE) {
-        round.run(some);
-        yield_now().await;
+    let missing = round.slots.len() > round.rent_from;
+    // Would fewer machines do, for what waits and what is expected?
+    let mut closed = match missing {
+        true => Vec::new(),
+        false => shrink(&node.view(), &mut lock(&node.leading), &mut round, &types, now),
+    };
+    let before = (!closed.is_empty()).then(|| round.slots.clone());
+    let late = expect(&mut round, &expected).await;
+    if let Some(before) = before {
+        let enough = round.slots.len() == round.rent_from && late * 30 <= expected.len();
+        let again = {
+            let mut memory = lock(&node.leading);
+            memory.shrinking = match enough {
+                true => (memory.shrinking * 2).min(EMPTIED),
+                false => (memory.shrinking / 2).max(1),
+            };
+            if !enough {
+                memory.shrunk = Some(Instant::now());
+            }
+            !enough
+        };
+        if again {
+            // Not without them: planned once more, with all.
+            round.slots = before;
+            round.slots.iter_mut().for_each(|s| s.closed = false);
+            closed.clear();
+            expect(&mut round, &expected).await;
+        }
     }
     let rent = rent(&round, now);
     let view = node.view();
     let mut memory = lock(&node.leading);
     ops.extend(idle(&view, &mut memory, &round));
-    if rent.is_empty() {
-        ops.extend(shrink(&view, &mut memory, &mut round, &types, now));
+    if !closed.is_empty() {
+        tracing::info!(machines = ?closed, "machines emptied");
+        ops.push(Op::Stage(Stage::Drain, closed));
     }
     ops.extend(rent);
     ops
 }
 
+/// Plans what is expected, each job for its time; how many would be late.
+async fn expect(round: &mut Round<'_>, expected: &[(f64, Waiting)]) -> usize {
+    let mut late = 0;
+    for some in expected.chunks(AT_ONCE) {
+        for (at, job) in some {
+            round.now = round.clock + at;
+            let decisions = round.run(std::slice::from_ref(job));
+            late += usize::from(!decisions.waits.is_empty());
+        }
+        yield_now().await;
+    }
+    round.now = round.clock;
+    late
+}
+
 /// The machines there are, and those under way.
 fn machines<'a>(
     node: &'a Node,
@@ -82,6 +123,7 @@
     let seconds = now as f64 / 1000.0;
     let mut round = Round {
         now: seconds,
+        clock: seconds,
         slots: Vec::with_capacity(view.machines.len() + 64),
         offers: offers(view, memory, types),
         teams: &node.settings.site.teams,
@@ -387,7 +429,7 @@
 
 /// Arrivals to be expected while a machine would boot: planned in the same
 /// way, so that they find one that is warm.
-fn spare(view: &View, types: &Types, now: u64) -> Vec<Waiting> {
+fn spare(view: &View, types: &Types, now: u64) -> Vec<(f64, Waiting)> {
     const BUCKETS: usize = 5;
     let mut out = Vec::new();
     let mut classes: Vec<_> = view
@@ -416,17 +458,18 @@
         });
         let rate = fleet::rate(&buckets, span as f64 / 1000.0);
         let z = match spec.priority {
-            Priority::Production | Priority::High => 0.7,
-            _ => 0.0,
+            Priority::Production | Priority::High => 1.5,
+            _ => 1.0,
         };
-        let jobs = fleet::ready_for(rate, slowest, z);
-        for (_, spec) in times.iter().rev().cycle().take(jobs as usize) {
+        let latest = times.iter().rev().cycle();
+        for (at, (_, spec)) in fleet::arrivals(rate, slowest, z).into_iter().zip(latest) {
             let mut phantom = slots::waiting(view, spec, types);
             phantom.indexes = (0..spec.tasks.min(PLANNED_EACH as u32)).collect();
             // What is expected is no reason to go beyond a team's limit.
-            out.push(phantom);
+            out.push((at, phantom));
         }
     }
+    out.sort_by(|a, b| a.0.total_cmp(&b.0));
     out
 }
 
@@ -504,26 +547,29 @@
     ops
 }
 
-/// Machines looked at in one round for whether the others can do without them.
-const LOOKED_AT: usize = 16;
-/// Share of a machine above which it is not worth emptying.
+/// Machines that one round may empty at most, and the share above which a
+/// machine is not worth it.
+const EMPTIED: usize = 64;
 const WELL_USED: f64 = 0.7;
 
-/// Gives back room that nothing needs but that no machine is free of: whose
-/// tasks would all find a place now on other machines in use, beside what is
-/// waiting and expected, takes no more tasks. Batch tasks end where they are;
-/// services move, a machine's at a time, where their images are already.
+/// Machines to do without, if what waits and is expected finds its places all
+/// the same: the dearest for what is on them first. They are closed in the plan.
+/// Batch tasks end where they are; services move, one machine's at a time, to
+/// where their images are already. How many are tried doubles while it works.
 fn shrink(
     view: &View,
     memory: &mut LeaderMemory,
     round: &mut Round,
     types: &Types,
     now: u64,
-) -> Vec<Op> {
-    let boot = |kind: &str| {
-        let kind = types.types.iter().find(|t| *t.name == *kind);
-        kind.map_or(60.0, |t| t.boot_s)
-    };
+) -> Vec<Name> {
+    let shortest = types.types.iter().map(|t| t.boot_s).fold(60.0, f64::min);
+    let wait = Duration::from_secs_f64(0.3 * shortest);
+    let lately = |at: Option<Instant>| at.is_some_and(|at| at.elapsed() < wait);
+    if lately(memory.shrunk) {
+        return Vec::new();
+    }
+    memory.shrinking = memory.shrinking.max(1);
     let mut candidates: Vec<(f64, usize)> = Vec::new();
     for (i, slot) in round.slots.iter().enumerate() {
         let Some(row) = view.machines.get(&slot.name) else {
@@ -536,23 +582,24 @@
             candidates.push((used / slot.price, i));
         }
     }
-    // The dearest for what is on it first.
     candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let mut drained = Vec::new();
-    for (_, i) in candidates.into_iter().take(LOOKED_AT) {
+    let mut closed = Vec::new();
+    for (_, i) in candidates.into_iter().take(2 * EMPTIED) {
+        if closed.len() >= memory.shrinking {
+            break;
+        }
         let name = round.slots[i].name.clone();
         let Some(row) = view.machines.get(&name) else {
             continue;
         };
-        let Some((moving, tasks)) = leaving(view, row, types, now) else {
+        let Some(services) = leaving(view, row, types, now) else {
             continue;
         };
-        let wait = Duration::from_secs_f64(0.3 * boot(&row.machine.kind));
-        if moving && memory.gathered.is_some_and(|at| at.elapsed() < wait) {
+        if !services.is_empty() && lately(memory.gathered) {
             continue;
         }
         let mut before: Vec<(usize, Slot)> = Vec::new();
-        let fits = tasks.iter().all(|job| {
+        let fits = services.iter().all(|job| {
             let Some((to, finish)) = round.best(job, true) else {
                 return false;
             };
@@ -561,38 +608,31 @@
             before.push((to, slot.clone()));
             let used = slot.tasks > 0;
             slot.place(job, &finish);
-            used && (warm || job.spec.shape != Shape::Service)
+            used && warm
         });
         if fits {
-            // No place for those that come after it in this round.
-            round.slots[i].up = false;
-            if moving {
+            round.slots[i].closed = true;
+            if !services.is_empty() {
                 memory.gathered = Some(Instant::now());
             }
-            drained.push(name);
+            closed.push(name);
         } else {
             for (to, slot) in before.into_iter().rev() {
                 round.slots[to] = slot;
             }
         }
     }
-    if drained.is_empty() {
-        return Vec::new();
-    }
-    tracing::info!(machines = ?drained, "machines emptied");
-    vec![Op::Stage(Stage::Drain, drained)]
+    closed
 }
 
-/// A machine's tasks as if they waited, and whether services are among them;
-/// `None` if it should stay as it is: gangs need the room that they have, and
-/// what has just started is not disturbed.
+/// A machine's services as if they waited; `None` if it should stay as it is:
+/// gangs keep what they have, and what has just started is not disturbed.
 fn leaving(
     view: &View,
     row: &crate::view::MachineRow,
     types: &Types,
     now: u64,
-) -> Option<(bool, Vec<Waiting>)> {
-    let mut moving = false;
+) -> Option<Vec<Waiting>> {
     let mut out = Vec::new();
     for (uid, index) in &row.tasks {
         let job = view.jobs.get(uid)?;
@@ -603,7 +643,9 @@
         if !open || job.spec.shape == Shape::Gang || (service && !settled) {
             return None;
         }
-        moving |= service;
+        if !service {
+            continue;
+        }
         let mut waiting = slots::waiting(view, &job.spec, types);
         for (i, t) in &job.tasks {
             if i != index {
@@ -613,7 +655,7 @@
         waiting.avoid = vec![task.machine.clone()?];
         out.push(waiting);
     }
-    Some((moving, out))
+    Some(out)
 }
 
 /// A start that is stopped within this time does not count for the users.
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -260,6 +260,7 @@
         tasks.sort();
         let mut round = Round {
             now: seconds,
+            clock: seconds,
             slots: Vec::new(),
             offers: Vec::new(),
             teams: &node.settings.site.teams,
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -30,6 +30,9 @@
     pub waits: BTreeMap<String, &'static str>,
     /// When a machine was last emptied for want of use.
     pub gathered: Option<Instant>,
+    /// How many machines to try to do without, and when that last failed.
+    pub shrinking: usize,
+    pub shrunk: Option<Instant>,
     /// When a block was last taken from a holder that was cut off.
     moved: HashMap<Name, Instant>,
     /// Tasks restarted once because they were overdue.
