Fleet sized in every third round, against all machines; long queues count less

Cause: trials of doing without machines were judged by an absolute share of late jobs and hardly ever passed; sizing took a third of the leader's processor; a doubled wait in the first backlog rented 250 dear machines that came up when it was worked off.

--- a/crates/plan/src/quota.rs
+++ b/crates/plan/src/quota.rs
@@ -26,8 +26,11 @@
             true => ((limit + 1e-6 - used) / each).max(0.0) as usize,
             false => n,
         };
-        n.min(fit(used.cpus, amount.cpus, team.cpus_max))
-            .min(fit(used.gpus, amount.gpus, team.gpus_max))
+        n.min(fit(used.cpus, amount.cpus, team.cpus_max)).min(fit(
+            used.gpus,
+            amount.gpus,
+            team.gpus_max,
+        ))
     }
 
     /// Whether `amount` more stays within what the team is guaranteed.
--- a/crates/plan/src/round.rs
+++ b/crates/plan/src/round.rs
@@ -19,6 +19,8 @@
 pub struct Estimate {
     pub run_s: f64,
     pub fetch_s: f64,
+    /// How long another machine of the group would boot.
+    pub boot_s: f64,
 }
 
 /// A job with tasks that have no machine.
@@ -33,6 +35,15 @@
     pub places: Places,
     /// Machines on which this job failed.
     pub avoid: Vec<Arc<str>>,
+    /// By how much dearer ordinary and spot machines of a group count for this
+    /// job, because there are no more of them and others gain more by them.
+    pub bias: Vec<[f64; 2]>,
+}
+
+impl Waiting {
+    fn bias(&self, group: usize, spot: bool) -> f64 {
+        self.bias.get(group).map_or(1.0, |b| b[usize::from(spot)])
+    }
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -135,7 +146,7 @@
         let fit = (1.0 / job.amount.share_of(&slot.whole)).max(1.0);
         Some(Candidate {
             span: (score / self.tie_s) as i64,
-            rank: slot.price / fit * (0.5 + room),
+            rank: slot.price / fit * (0.5 + room) * job.bias(slot.group, slot.spot),
             slot: i,
             finish,
         })
@@ -205,7 +216,7 @@
                 continue;
             }
             let fit = job.amount.times_in(&slot.whole, u32::MAX).max(1);
-            let cost = slot.price / f64::from(fit);
+            let cost = slot.price / f64::from(fit) * job.bias(slot.group, slot.spot);
             let new = self.slots[self.rent_from.min(self.slots.len())..]
                 .iter()
                 .filter(|s| s.zone == offer.zone)
@@ -237,9 +248,10 @@
         };
         while tried.chosen.len() < n {
             // A zone that is closed to the job stays so: its tasks only grow.
-            while heap.peek().is_some_and(|Reverse(c)| {
-                !job.places.allows(&job.spec, &self.slots[c.slot].zone)
-            }) {
+            while heap
+                .peek()
+                .is_some_and(|Reverse(c)| !job.places.allows(&job.spec, &self.slots[c.slot].zone))
+            {
                 heap.pop();
             }
             let best = heap.peek().map(|Reverse(c)| (c.slot, c.finish));
@@ -277,11 +289,36 @@
         tried
     }
 
-    /// Starts what tasks of a job can start now: index and slot of each.
-    pub fn start(&mut self, job: &Waiting) -> Vec<(u32, usize)> {
-        let tried = self.plan(job, job.indexes.len(), None, true);
-        let slots = tried.chosen.into_iter().map(|(slot, _)| slot);
-        job.indexes.iter().copied().zip(slots).collect()
+    /// Starts what tasks of a job can start now: index and slot of each. `hints`
+    /// are the machines found best for them a moment ago, by the same rule over
+    /// all blocks; the others are searched for.
+    pub fn start(&mut self, job: &Waiting, hints: &[Option<Arc<str>>]) -> Vec<(u32, usize)> {
+        let mut out = Vec::new();
+        let mut rest = job.clone();
+        rest.indexes.clear();
+        for (index, hint) in job.indexes.iter().zip(hints) {
+            match hint.as_ref().and_then(|name| self.hinted(job, name)) {
+                Some(slot) => out.push((*index, slot)),
+                None => rest.indexes.push(*index),
+            }
+        }
+        if !rest.indexes.is_empty() {
+            let tried = self.plan(&rest, rest.indexes.len(), None, true);
+            let slots = tried.chosen.into_iter().map(|(slot, _)| slot);
+            out.extend(rest.indexes.iter().copied().zip(slots));
+        }
+        out
+    }
+
+    /// Places a task on a machine named before, if it can start there now.
+    fn hinted(&mut self, job: &Waiting, name: &Arc<str>) -> Option<usize> {
+        let i = self.slots.iter().position(|s| s.name == *name)?;
+        if !self.slots[i].allowed(&job.spec) || job.avoid.contains(name) {
+            return None;
+        }
+        let c = self.candidate(i, job, true)?;
+        self.slots[i].place(job, &c.finish);
+        Some(i)
     }
 
     fn undo(&mut self, undo: Undo) {
@@ -432,11 +469,19 @@
         let spec = Arc::new(JobSpec::parse(text.as_bytes()).unwrap());
         Waiting {
             amount: Amount::of_task(&spec),
-            estimates: vec![Estimate { run_s, fetch_s: 8.0 }; 2],
+            estimates: vec![
+                Estimate {
+                    run_s,
+                    fetch_s: 8.0,
+                    boot_s: 30.0
+                };
+                2
+            ],
             overhead_s: 1.0,
             indexes: (0..20).collect(),
             places: Places::default(),
             avoid: Vec::new(),
+            bias: Vec::new(),
             spec,
         }
     }
--- a/crates/plan/src/slot.rs
+++ b/crates/plan/src/slot.rs
@@ -45,8 +45,8 @@
     pub finish: f64,
 }
 
-/// How much a predicted wait for other tasks' ends counts.
-const PENDING: f64 = 2.0;
+/// By how much of a boot a predicted wait for other tasks' ends may count more.
+const DOUBT: f64 = 0.5;
 
 impl Slot {
     pub fn new(
@@ -144,9 +144,11 @@
         if start > now && self.up {
             // Only a machine with pending tasks has a pending error. A wait for
             // others' ends is not known like a fetch: ends that come early help
-            // little, late ones add up, so it counts more than its length.
-            let wait = (start - now) * PENDING + self.pending_error;
-            start = now + wait.max(job.overhead_s);
+            // little, late ones add up. So it counts twice, up to half of what
+            // another machine would boot: a long queue is worked off meanwhile.
+            let wait = start - now;
+            let doubt = wait.min(DOUBT * times.boot_s);
+            start = now + (wait + doubt + self.pending_error).max(job.overhead_s);
         }
         // An image is fetched from the task's start on, unless it is there or
         // under way for another.
--- a/crates/rushwalk/src/api.rs
+++ b/crates/rushwalk/src/api.rs
@@ -1,8 +1,8 @@
 //! The users' and workers' interface on the public address.
 
-use crate::rigs::{self, Reply};
 use crate::mesh;
 use crate::node::{Node, now_ms};
+use crate::rigs::{self, Reply};
 use poem::http::StatusCode;
 use poem::web::{Data, Path};
 use poem::{Body, Endpoint, EndpointExt, IntoResponse, Response, Route, get, handler, post};
--- a/crates/rushwalk/src/cloud.rs
+++ b/crates/rushwalk/src/cloud.rs
@@ -296,7 +296,8 @@
                     ops.push(Op::Found(listed.name.as_str().into(), machine));
                 }
                 Some(row)
-                    if listed.state == ListedState::Failed && row.machine.stage != Stage::Delete =>
+                    if listed.state == ListedState::Failed
+                        && row.machine.stage != Stage::Delete =>
                 {
                     tracing::info!(machine = listed.name, "machine failed");
                     failed.push(Name::from(listed.name.as_str()));
--- a/crates/rushwalk/src/fleet.rs
+++ b/crates/rushwalk/src/fleet.rs
@@ -24,7 +24,7 @@
 const PLANNED_EACH: usize = 160;
 /// Jobs planned before the others on this thread have their turn. On a busy
 /// thread a turn comes late, so a round must not take many.
-const AT_ONCE: usize = 64;
+const AT_ONCE: usize = 16;
 
 /// One round of placing and sizing.
 pub async fn plan(node: &Node) -> Vec<Op> {
@@ -34,10 +34,14 @@
         let Some(types) = view.types.clone() else {
             return Vec::new();
         };
-        let mut memory = lock(&node.leading);
+        let memory = lock(&node.leading);
         let mut round = machines(node, &view, &memory, &types, now);
-        assigned(&view, &mut memory, &types, &mut round);
-        let waiting = waiting(&mut view, now, node, &types);
+        assigned(&view, &types, &mut round);
+        let mut waiting = waiting(&mut view, now, node, &types);
+        let scarce = scarcity(&view, &memory, &types);
+        for job in &mut waiting {
+            job.bias = scarce.get(&job.spec.class).cloned().unwrap_or_default();
+        }
         (round, waiting, types)
     };
     let mut decisions = Decisions::default();
@@ -50,22 +54,56 @@
     let mut ops = {
         let view = node.view();
         let mut memory = lock(&node.leading);
-        let mut ops = assign(&view, &mut memory, &round, &decisions, now);
+        let mut ops = assign(&view, &round, &decisions, now);
         memory.waits = decisions.waits.into_iter().collect();
         ops.extend(overdue(&view, &mut memory, &mut round, &types, now));
         ops
     };
-    let expected = spare(&node.view(), &types, now);
+    tell(&round);
+    // The fleet is sized by what is expected in every third round only: a plan
+    // of many jobs, most of which come out as they did a moment ago.
+    let due = {
+        let mut memory = lock(&node.leading);
+        let due = memory
+            .sized
+            .is_none_or(|at| at.elapsed() > node.times.round * 5 / 2);
+        if due {
+            memory.sized = Some(Instant::now());
+        }
+        due
+    };
+    if !due {
+        ops.extend(rent(&round, now));
+        return ops;
+    }
+    let expected = {
+        let view = node.view();
+        let scarce = scarcity(&view, &lock(&node.leading), &types);
+        let mut expected = spare(&view, &types, now);
+        for (_, job) in &mut expected {
+            job.bias = scarce.get(&job.spec.class).cloned().unwrap_or_default();
+        }
+        expected
+    };
     let missing = round.slots.len() > round.rent_from;
     // Would fewer machines do, for what waits and what is expected?
     let mut closed = match missing {
         true => Vec::new(),
-        false => shrink(&node.view(), &mut lock(&node.leading), &mut round, &types, now),
+        false => shrink(
+            &node.view(),
+            &mut lock(&node.leading),
+            &mut round,
+            &types,
+            now,
+        ),
     };
     let before = (!closed.is_empty()).then(|| round.slots.clone());
     let late = expect(&mut round, &expected).await;
     if let Some(before) = before {
-        let enough = round.slots.len() == round.rent_from && late * 30 <= expected.len();
+        // Not more may be late than were with all machines, but for a few.
+        let all: usize = expected.iter().map(|(_, job)| job.indexes.len()).sum();
+        let allowed = lock(&node.leading).late + all / 50;
+        let enough = round.slots.len() == round.rent_from && late <= allowed;
         let again = {
             let mut memory = lock(&node.leading);
             memory.shrinking = match enough {
@@ -82,8 +120,10 @@
             round.slots = before;
             round.slots.iter_mut().for_each(|s| s.closed = false);
             closed.clear();
-            expect(&mut round, &expected).await;
+            lock(&node.leading).late = expect(&mut round, &expected).await;
         }
+    } else {
+        lock(&node.leading).late = late;
     }
     let rent = rent(&round, now);
     let view = node.view();
@@ -97,14 +137,32 @@
     ops
 }
 
-/// Plans what is expected, each job for its time; how many would be late.
+/// How the fleet is used, for whoever follows the log.
+fn tell(round: &Round) {
+    if !tracing::enabled!(tracing::Level::DEBUG) {
+        return;
+    }
+    let mut groups: BTreeMap<(&Name, bool), (usize, usize, usize, f64)> = BTreeMap::new();
+    for slot in &round.slots {
+        let group = groups.entry((&slot.kind, slot.spot)).or_default();
+        group.0 += 1;
+        group.1 += usize::from(slot.up);
+        group.2 += usize::from(slot.tasks == 0);
+        group.3 += 1.0 - slot.free_at(round.now).least_share_of(&slot.whole);
+    }
+    for ((kind, spot), (all, up, idle, used)) in groups {
+        tracing::debug!(kind = &**kind, spot, all, up, idle, used, "fleet");
+    }
+}
+
+/// Plans what is expected, each job for its time; how many tasks would wait.
 async fn expect(round: &mut Round<'_>, expected: &[(f64, Waiting)]) -> usize {
     let mut late = 0;
     for some in expected.chunks(AT_ONCE) {
         for (at, job) in some {
             round.now = round.clock + at;
             let decisions = round.run(std::slice::from_ref(job));
-            late += usize::from(!decisions.waits.is_empty());
+            late += job.indexes.len() - decisions.placed.len();
         }
         yield_now().await;
     }
@@ -186,12 +244,79 @@
     out
 }
 
+/// By how much dearer each group counts for each class. Where no zone has more
+/// of a kind to rent, its machines should serve those for whom another kind would
+/// be dearest: the others count them dearer by as much as they would lose less.
+fn scarcity(view: &View, memory: &LeaderMemory, types: &Types) -> BTreeMap<String, Vec<[f64; 2]>> {
+    const MOST: f64 = 4.0;
+    let kinds = &types.types;
+    let scarce = |group: usize, spot: bool| {
+        let kind = &kinds[group];
+        let key = |zone: &String| (kind.name.clone(), zone.clone(), spot);
+        kind.zones
+            .iter()
+            .all(|z| memory.refused.contains_key(&key(z)))
+    };
+    let scarce: Vec<[bool; 2]> = (0..kinds.len())
+        .map(|g| [scarce(g, false), scarce(g, true)])
+        .collect();
+    if !scarce.iter().flatten().any(|s| *s) {
+        return BTreeMap::new();
+    }
+    // What it loses without the scarce kind: the next price over this one's.
+    let mut losses: BTreeMap<String, Vec<[f64; 2]>> = BTreeMap::new();
+    for times in view.arrivals.values() {
+        let Some((_, spec)) = times.back() else {
+            continue;
+        };
+        let amount = Amount::of_task(spec);
+        let cost = |group: usize, spot: bool| {
+            let kind = &kinds[group];
+            let named = spec.types.as_ref().is_none_or(|t| t.contains(&kind.name));
+            let price = match spot {
+                true => kind.spot_price.filter(|_| spec.spot),
+                false => Some(kind.price),
+            };
+            let fit = amount.times_in(&Amount::of_type(kind), u32::MAX);
+            price
+                .filter(|_| named && fit > 0)
+                .map(|p| p / f64::from(fit))
+        };
+        let all = (0..kinds.len()).flat_map(|g| [(g, false), (g, true)]);
+        let open = all.filter(|(g, s)| !scarce[*g][usize::from(*s)]);
+        let next = open
+            .filter_map(|(g, s)| cost(g, s))
+            .fold(f64::INFINITY, f64::min);
+        let loss = |group: usize, spot: bool| {
+            let lost = cost(group, spot).map_or(1.0, |c| next / c.max(1e-9));
+            lost.clamp(1.0 / MOST, MOST)
+        };
+        let losses_each = (0..kinds.len()).map(|g| [loss(g, false), loss(g, true)]);
+        losses.insert(spec.class.clone(), losses_each.collect());
+    }
+    let mut most = vec![[0.0f64; 2]; kinds.len()];
+    for each in losses.values() {
+        for (most, loss) in most.iter_mut().zip(each) {
+            most[0] = most[0].max(loss[0]);
+            most[1] = most[1].max(loss[1]);
+        }
+    }
+    for each in losses.values_mut() {
+        for (group, loss) in each.iter_mut().enumerate() {
+            for spot in [0, 1] {
+                loss[spot] = match scarce[group][spot] {
+                    true => most[group][spot] / loss[spot],
+                    false => 1.0,
+                };
+            }
+        }
+    }
+    losses
+}
+
 /// Counts live tasks into the usage, and plans room for those that their
 /// holder has not placed yet.
-fn assigned(view: &View, memory: &mut LeaderMemory, types: &Types, round: &mut Round) {
-    memory
-        .hints
-        .retain(|(uid, i), _| view.unplaced.contains(&(uid.clone(), *i)));
+fn assigned(view: &View, types: &Types, round: &mut Round) {
     for uid in &view.live {
         let Some(job) = view.jobs.get(uid) else {
             continue;
@@ -203,10 +328,10 @@
     }
     let mut last: Option<(&Name, Waiting)> = None;
     for (uid, index) in &view.unplaced {
-        let Some(hint) = memory.hints.get(&(uid.clone(), *index)) else {
+        let Some(job) = view.jobs.get(uid) else {
             continue;
         };
-        let Some(job) = view.jobs.get(uid) else {
+        let Some(hint) = job.tasks.get(index).and_then(|t| t.task.hint.as_ref()) else {
             continue;
         };
         let waiting = match &last {
@@ -217,7 +342,9 @@
             }
         };
         // Machines come in the order of their names.
-        let at = round.slots.partition_point(|s| !s.name.is_empty() && s.name < *hint);
+        let at = round
+            .slots
+            .partition_point(|s| !s.name.is_empty() && s.name < *hint);
         if let Some(slot) = round.slots.get_mut(at).filter(|s| s.name == *hint)
             && let Some(finish) = slot.finish(waiting, round.now)
         {
@@ -318,24 +445,17 @@
 }
 
 /// Gives tasks that can start now to the blocks of their machines.
-fn assign(
-    view: &View,
-    memory: &mut LeaderMemory,
-    round: &Round,
-    decisions: &Decisions,
-    now: u64,
-) -> Vec<Op> {
+fn assign(view: &View, round: &Round, decisions: &Decisions, now: u64) -> Vec<Op> {
     let mut ops = Vec::new();
     for placed in decisions.placed.chunk_by(|a, b| a.uid == b.uid) {
         let Some((uid, job)) = view.jobs.get_key_value(&*placed[0].uid) else {
             continue;
         };
-        let mut to: BTreeMap<Name, Vec<u32>> = BTreeMap::new();
+        let mut to: BTreeMap<Name, Vec<(u32, Name)>> = BTreeMap::new();
         for one in placed {
             let slot = &round.slots[one.slot];
-            to.entry(slot.block.clone()).or_default().push(one.index);
-            let name = (uid.clone(), one.index);
-            memory.hints.insert(name, slot.name.clone());
+            let task = (one.index, slot.name.clone());
+            to.entry(slot.block.clone()).or_default().push(task);
         }
         if job.spec.shape == Shape::Gang {
             tracing::info!(job = &**uid, tasks = placed.len(), "gang assigned");
@@ -361,11 +481,9 @@
 ) -> Vec<Op> {
     let mut ops = Vec::new();
     let seconds = now as f64 / 1000.0;
-    memory.restarted.retain(|(uid, _)| {
-        view.jobs
-            .get(uid)
-            .is_some_and(|j| j.phase == Phase::Active)
-    });
+    memory
+        .restarted
+        .retain(|(uid, _)| view.jobs.get(uid).is_some_and(|j| j.phase == Phase::Active));
     for uid in &view.live {
         let Some(job) = view.jobs.get(uid) else {
             continue;
@@ -412,12 +530,7 @@
                 run,
                 "overdue task restarted"
             );
-            let stop = Op::Stop(
-                uid.clone(),
-                t.task.attempt,
-                StopWhy::Overdue,
-                vec![*index],
-            );
+            let stop = Op::Stop(uid.clone(), t.task.attempt, StopWhy::Overdue, vec![*index]);
             ops.push(stop);
             if ops.len() >= LISTED {
                 return ops;
@@ -520,10 +633,7 @@
         let stage = match row.machine.stage {
             Stage::Drain => Stage::Delete,
             Stage::Use if row.machine.silent.is_none() => {
-                let since = *memory
-                    .idle
-                    .entry(name.clone())
-                    .or_insert_with(Instant::now);
+                let since = *memory.idle.entry(name.clone()).or_insert_with(Instant::now);
                 let types = view.types.iter().flat_map(|t| &t.types);
                 let kind = types.clone().find(|t| *t.name == *row.machine.kind);
                 // It costs a boot to have it again.
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -289,7 +289,11 @@
             let mut waiting = slots::waiting(view, &job.spec, &types);
             waiting.indexes = some.iter().map(|t| t.3).collect();
             waiting.avoid = job.trouble.machines.clone();
-            for (index, i) in round.start(&waiting) {
+            let hints: Vec<_> = some
+                .iter()
+                .map(|t| job.tasks.get(&t.3)?.task.hint.clone())
+                .collect();
+            for (index, i) in round.start(&waiting, &hints) {
                 let Some(t) = job.tasks.get(&index) else {
                     continue;
                 };
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -25,14 +25,16 @@
     /// Kinds of machine that were refused: until when, and how often in a row.
     pub refused: HashMap<(String, String, bool), (Instant, u32)>,
     pub idle: HashMap<Name, Instant>,
-    /// The machine that the plan had in mind for an assigned task.
-    pub hints: HashMap<(Name, u32), Name>,
     pub waits: BTreeMap<String, &'static str>,
     /// When a machine was last emptied for want of use.
     pub gathered: Option<Instant>,
     /// How many machines to try to do without, and when that last failed.
     pub shrinking: usize,
     pub shrunk: Option<Instant>,
+    /// When the fleet was last sized.
+    pub sized: Option<Instant>,
+    /// Expected tasks that would have to wait on the whole fleet.
+    pub late: usize,
     /// When a block was last taken from a holder that was cut off.
     moved: HashMap<Name, Instant>,
     /// Tasks restarted once because they were overdue.
@@ -297,13 +299,7 @@
 /// Whether a task should leave its machine: a service always, others if it is
 /// being taken back and they save, or would not be finished by then. On one that
 /// is only to be given back they run to their end.
-fn drains(
-    view: &View,
-    job: &JobRow,
-    t: &TaskRow,
-    row: &crate::view::MachineRow,
-    now: u64,
-) -> bool {
+fn drains(view: &View, job: &JobRow, t: &TaskRow, row: &crate::view::MachineRow, now: u64) -> bool {
     if job.spec.shape == Shape::Service {
         return true;
     }
--- a/crates/rushwalk/src/log.rs
+++ b/crates/rushwalk/src/log.rs
@@ -131,8 +131,7 @@
                     ..Write::default()
                 });
                 let next = packed.peek().map_or(0, String::len);
-                if txn.writes.len() >= self.settings.site.state.txn_ops
-                    || size + next > TRANSACTION
+                if txn.writes.len() >= self.settings.site.state.txn_ops || size + next > TRANSACTION
                 {
                     break;
                 }
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -1,8 +1,8 @@
 //! What all loops of one controller share.
 
-use crate::rigs::Rigs;
 use crate::leader::LeaderMemory;
 use crate::log::{Asked, Slots};
+use crate::rigs::Rigs;
 use crate::view::View;
 use rushwalk_clients::budget::Budget;
 use rushwalk_clients::state::{Outcome, State};
--- a/crates/rushwalk/src/rigs.rs
+++ b/crates/rushwalk/src/rigs.rs
@@ -171,9 +171,8 @@
             .jobs
             .get(&*said.uid)
             .and_then(|j| j.tasks.get(&said.index));
-        let wanted = task.is_some_and(|t| {
-            t.task.attempt == attempt && t.task.machine.as_deref() == Some(name)
-        });
+        let wanted = task
+            .is_some_and(|t| t.task.attempt == attempt && t.task.machine.as_deref() == Some(name));
         if wanted {
             continue;
         }
--- a/crates/rushwalk/src/slots.rs
+++ b/crates/rushwalk/src/slots.rs
@@ -15,6 +15,7 @@
     let estimates = types.types.iter().map(|t| Estimate {
         run_s: averages.run_time(spec, &t.name),
         fetch_s: averages.fetch_time(spec.image_gb, &t.name, t.fetch_gb_per_s),
+        boot_s: t.boot_s,
     });
     Waiting {
         spec: spec.clone(),
@@ -24,6 +25,7 @@
         indexes: Vec::new(),
         places: Places::default(),
         avoid: Vec::new(),
+        bias: Vec::new(),
     }
 }
 
--- a/crates/rushwalk/src/snapshot.rs
+++ b/crates/rushwalk/src/snapshot.rs
@@ -54,7 +54,9 @@
                 break;
             }
             size += text.len();
-            let Some((i, text)) = chunks.next() else { break };
+            let Some((i, text)) = chunks.next() else {
+                break;
+            };
             txn.writes.push(Write {
                 put: Some(rec::chunk_key(base.generation, i)),
                 value: log::value(base.at, text),
--- a/crates/rushwalk/src/view.rs
+++ b/crates/rushwalk/src/view.rs
@@ -492,27 +492,23 @@
         (task.task.attempt == attempt).then_some(task)
     }
 
-    fn assign(&mut self, uid: &Name, attempt: u64, at: u64, to: Vec<(Name, Vec<u32>)>) {
+    fn assign(&mut self, uid: &Name, attempt: u64, at: u64, to: Vec<(Name, Vec<(u32, Name)>)>) {
         let Some(job) = self.jobs.get(uid).filter(|j| j.phase == Phase::Active) else {
             return;
         };
-        let free = |index: &u32| {
-            *index < job.spec.tasks && !job.tasks.contains_key(index) && !job.done.get(*index)
+        let free = |index: u32| {
+            index < job.spec.tasks && !job.tasks.contains_key(&index) && !job.done.get(index)
         };
-        let gang = job.spec.shape == Shape::Gang;
-        if gang && !to.iter().flat_map(|(_, tasks)| tasks).all(free) {
+        let all = to.iter().flat_map(|(_, tasks)| tasks);
+        if job.spec.shape == Shape::Gang && !all.map(|t| t.0).all(free) {
             return;
         }
         let mut new = Vec::new();
         for (block, tasks) in to {
-            new.extend(
-                tasks
-                    .into_iter()
-                    .filter(|i| free(i))
-                    .map(|i| (i, block.clone())),
-            );
-        }
-        for (index, block) in new {
+            let tasks = tasks.into_iter().filter(|t| free(t.0));
+            new.extend(tasks.map(|(index, hint)| (index, block.clone(), hint)));
+        }
+        for (index, block, hint) in new {
             let task = Task {
                 block,
                 attempt,
@@ -520,6 +516,7 @@
                 at,
                 ran: None,
                 stop: None,
+                hint: Some(hint),
             };
             self.add(uid, index, task);
         }
@@ -593,8 +590,7 @@
             let Some((name, there)) = self.machines.get_key_value(&machine) else {
                 continue;
             };
-            let usable =
-                there.machine.stage == Stage::Use && there.machine.block == task.block;
+            let usable = there.machine.stage == Stage::Use && there.machine.block == task.block;
             if !open || !usable {
                 continue;
             }
@@ -775,12 +771,7 @@
         let (phase, tasks, done, running) = match self.jobs.get(uid) {
             Some(job) => {
                 let running = job.tasks.values().filter(|t| t.task.ran.is_some()).count();
-                (
-                    job.phase,
-                    job.spec.tasks,
-                    job.done.count(),
-                    running as u32,
-                )
+                (job.phase, job.spec.tasks, job.done.count(), running as u32)
             }
             None => {
                 let (phase, tasks) = *self.over.get(uid)?;
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -195,6 +195,9 @@
     pub ran: Option<u64>,
     #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
     pub stop: Option<StopWhy>,
+    /// The machine that the leader had in mind; nothing relies on it.
+    #[serde(skip)]
+    pub hint: Option<Arc<str>>,
 }
 
 /// The failures of a job's tasks so far.
@@ -217,9 +220,10 @@
     Submit(Arc<JobSpec>, u64),
     #[serde(rename = "c")]
     Cancel(Arc<str>),
-    /// Tasks given to blocks, for a gang all or none.
+    /// Tasks given to blocks, for a gang all or none, each with the machine that
+    /// the leader had in mind.
     #[serde(rename = "a")]
-    Assign(Arc<str>, u64, Vec<(Arc<str>, Vec<u32>)>),
+    Assign(Arc<str>, u64, Vec<(Arc<str>, Vec<(u32, Arc<str>)>)>),
     /// Tasks of an attempt given to machines by their holder.
     #[serde(rename = "p")]
     Place(Arc<str>, u64, u64, Vec<(u32, Arc<str>)>),
