--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -211,6 +211,9 @@
     pub machines: Vec<Arc<str>>,
 }
 
+/// Tasks, each with a machine.
+pub type Hinted = Vec<(u32, Arc<str>)>;
+
 /// One change. Each is applied only if what it rests on still holds; the rules
 /// are in the view's `apply`. Times of day are in milliseconds.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -223,7 +226,7 @@
     /// Tasks given to blocks, for a gang all or none, each with the machine that
     /// the leader had in mind.
     #[serde(rename = "a")]
-    Assign(Arc<str>, u64, Vec<(Arc<str>, Vec<(u32, Arc<str>)>)>),
+    Assign(Arc<str>, u64, Vec<(Arc<str>, Hinted)>),
     /// Tasks of an attempt given to machines by their holder.
     #[serde(rename = "p")]
     Place(Arc<str>, u64, u64, Vec<(u32, Arc<str>)>),
