--- a/crates/plan/src/fleet.rs
+++ b/crates/plan/src/fleet.rs
@@ -3,7 +3,9 @@
 /// Arrivals a second over a window of `buckets` counts, each `seconds` long, the
 /// latest first. The largest count is left out: a burst at the start, say, is no
 /// rate, and one count alone tells nothing. What has nearly stopped is not
-/// waited for: the rate is at most half as high again as in the latest two.
+/// waited for, and a burst is believed in for the most part at once: the rate is
+/// at least four fifths of that in the latest count, once that is not the first,
+/// and at most half as high again as in the latest two.
 pub fn rate(buckets: &[u32], seconds: f64) -> f64 {
     let Some(most) = buckets.iter().max() else {
         return 0.0;
@@ -15,7 +17,11 @@
     let sum: u32 = buckets.iter().sum();
     let all = f64::from(sum - most) / (seconds * (n - 1) as f64);
     let latest = f64::from(buckets[0] + buckets[1]) / (2.0 * seconds);
-    all.min(1.5 * latest)
+    let burst = match n {
+        2 => 0.0,
+        _ => 0.8 * f64::from(buckets[0]) / seconds,
+    };
+    all.max(burst).min(1.5 * latest)
 }
 
 /// When the arrivals to be ready for come, in seconds from now: `z` deviations
@@ -39,6 +45,7 @@
         assert_eq!(rate(&[300], 30.0), 0.0);
         assert_eq!(rate(&[30, 300, 30], 30.0), 1.0);
         assert_eq!(rate(&[0, 0, 60, 60, 60], 30.0), 0.0);
+        assert_eq!(rate(&[150, 30, 30, 30, 30], 30.0), 4.0);
         let at = arrivals(1.0, 16.0, 1.0);
         assert_eq!(at.len(), 20);
         assert_eq!(&at[..4], &[0.0; 4]);
--- a/crates/plan/src/slot.rs
+++ b/crates/plan/src/slot.rs
@@ -46,7 +46,7 @@
 }
 
 /// By how much of a boot a predicted wait for other tasks' ends may count more.
-const DOUBT: f64 = 0.5;
+const DOUBT: f64 = 1.0;
 
 impl Slot {
     pub fn new(
@@ -144,8 +144,8 @@
         if start > now && self.up {
             // Only a machine with pending tasks has a pending error. A wait for
             // others' ends is not known like a fetch: ends that come early help
-            // little, late ones add up. So it counts twice, up to half of what
-            // another machine would boot: a long queue is worked off meanwhile.
+            // little, late ones add up. So it counts twice, up to what another
+            // machine would boot: a long queue is worked off meanwhile.
             let wait = start - now;
             let doubt = wait.min(DOUBT * times.boot_s);
             start = now + (wait + doubt + self.pending_error).max(job.overhead_s);
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -202,7 +202,7 @@
 }
 
 /// Marks on a machine's record: up, recalled, silent.
-fn marks(node: &Node, name: &Name, row: &MachineRow, rig: &Rig, out: &mut Gathered) {
+fn marks(node: &Node, name: &Name, row: &MachineRow, rig: &mut Rig, out: &mut Gathered) {
     let machine = &row.machine;
     if rig.heard.is_some() {
         if machine.up.is_none() || *machine.address != *rig.address {
@@ -222,7 +222,9 @@
         let asked = rig.probed_at.is_some_and(|at| at > last) && !rig.inflight;
         if last.elapsed() > node.times.silent {
             if machine.silent.is_none() && asked {
-                tracing::info!(machine = &**name, "silent");
+                if !std::mem::replace(&mut rig.told, true) {
+                    tracing::info!(machine = &**name, "silent");
+                }
                 out.silent.push(name.clone());
             }
         } else if machine.silent.is_some()
--- a/crates/rushwalk/src/rigs.rs
+++ b/crates/rushwalk/src/rigs.rs
@@ -47,6 +47,8 @@
     /// absent task proves nothing, and nothing may be forgotten.
     pub tainted: Option<(u64, u64)>,
     pub inflight: bool,
+    /// Its silence was told of: once is enough while that can't be committed.
+    pub told: bool,
     /// Report whose answer carried starts; a report that was already under
     /// way elsewhere does not show their effect.
     answered: Option<u64>,
@@ -79,6 +81,7 @@
             self.tainted = None;
         }
         self.heard = Some(Instant::now());
+        self.told = false;
         if !report.address.is_empty() && self.address != report.address {
             self.address = report.address.clone();
         }
