--- a/crates/plan/src/round.rs
+++ b/crates/plan/src/round.rs
@@ -418,8 +418,12 @@
         zones: &[Option<Arc<str>>],
         free_now: bool,
     ) -> Option<Option<Arc<str>>> {
-        let mut best: Option<(i64, f64, Option<Arc<str>>)> = None;
+        let mut best: Option<(i64, f64, usize, Option<Arc<str>>)> = None;
         for zone in zones {
+            // Of zones that are as good, the one with fewer machines: all gangs
+            // in the first would use up what can be rented there.
+            let there = self.slots.iter().filter(|s| Some(&s.zone) == zone.as_ref());
+            let there = there.count();
             let tried = self.plan(job, job.indexes.len(), zone.as_deref(), free_now);
             let whole = tried.chosen.len() == job.indexes.len();
             let span = ((tried.last - self.now) / self.tie_s) as i64;
@@ -428,12 +432,12 @@
             if whole
                 && best
                     .as_ref()
-                    .is_none_or(|(s, r, _)| (span, rented) < (*s, *r))
+                    .is_none_or(|(s, r, n, _)| (span, rented, there) < (*s, *r, *n))
             {
-                best = Some((span, rented, zone.clone()));
+                best = Some((span, rented, there, zone.clone()));
             }
         }
-        best.map(|(_, _, zone)| zone)
+        best.map(|(_, _, _, zone)| zone)
     }
 }
 
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -179,6 +179,8 @@
                             task = r.task,
                             machine = &**name,
                             class,
+                            kind = &*row.machine.kind,
+                            spot = row.machine.spot,
                             since,
                             placed_ms,
                             image_gb = job.spec.image_gb,
--- a/crates/rushwalk/src/main.rs
+++ b/crates/rushwalk/src/main.rs
@@ -136,7 +136,16 @@
     tracing::info!(member = node.me(), nonce = node.nonce, "started");
     let _loops = node::start(&node);
     let mesh = poem::Server::new(TcpListener::bind(mesh)).run(mesh::routes(node.clone()));
-    let public = poem::Server::new(TcpListener::bind(public)).run(api::routes(node));
+    let public = async {
+        // Until the view is there nobody can be served. Behind a closed port the
+        // workers of a whole fleet, who ask again each second, cost nothing; at
+        // an open one they once held up a restarted node's listing for 7 s.
+        let mut synced = node.synced.subscribe();
+        let listed = synced.wait_for(|at| at.is_some());
+        let _ = tokio::time::timeout(node.times.member, listed).await;
+        let listener = TcpListener::bind(public);
+        poem::Server::new(listener).run(api::routes(node.clone())).await
+    };
     let (public, mesh) = tokio::join!(public, mesh);
     public.and(mesh).map_err(|e| e.to_string())
 }
--- a/crates/rushwalk/src/mesh.rs
+++ b/crates/rushwalk/src/mesh.rs
@@ -155,9 +155,10 @@
     if node.synced.borrow().is_none() {
         return false;
     }
-    let recent = Duration::from_secs(5);
+    // In an outage all ages grow alike, and a peer's is known as of its last
+    // message: only one that is well below the limit by now is better off.
     let peers = lock(&node.peers);
     !peers.values().any(|(at, hello)| {
-        at.elapsed() < recent && Duration::from_millis(hello.state_age_ms) < limit
+        at.elapsed() + Duration::from_millis(hello.state_age_ms) < limit / 2
     })
 }
