--- a/crates/rushwalk/src/admin.rs
+++ b/crates/rushwalk/src/admin.rs
@@ -2,61 +2,123 @@
 //! asks first. Read-only.
 
 use crate::node::{Node, lock};
-use poem::web::Data;
+use poem::web::{Data, Query};
 use poem::{Response, handler};
 use rushwalk_clients::{Http, Method};
+use rushwalk_wire::records::Stage;
+use serde::Deserialize;
 use serde_json::json;
+use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Leader, members, grants, machines, waiting jobs with the reason, in JSON.
-#[handler]
-pub async fn status(node: Data<&Arc<Node>>) -> Response {
-    let body = {
-        let view = node.view();
-        let machines: Vec<_> = view
-            .machines
-            .iter()
-            .map(|(name, row)| {
-                let m = &row.machine;
-                json!({"name": &**name, "type": &*m.kind, "zone": &*m.zone, "spot": m.spot,
-                    "block": &*m.block, "stage": m.stage, "up": m.up.is_some(),
-                    "silent": m.silent.is_some(), "tasks": row.tasks.len()})
-            })
-            .collect();
-        let grants: Vec<_> = view
-            .grants
-            .iter()
-            .map(|(block, (token, grant))| {
-                json!({"block": &**block, "holder": grant.holder, "token": token})
-            })
-            .collect();
-        let leads = node.leadership(&view).is_some();
-        // Only the leader plans, so only it knows why a job waits.
-        let waits = match leads {
-            true => lock(&node.leading).waits.clone(),
-            false => Default::default(),
-        };
-        let age = node.synced.borrow().map(|at| at.elapsed().as_secs_f64());
-        json!({"member": node.me(), "leads": leads,
-            "leader": view.leader.as_ref().map(|(_, l)| l.member.clone()),
-            "revision": view.revision, "state_age_s": age,
-            "members": view.members.keys().collect::<Vec<_>>(),
-            "grants": grants, "machines": machines,
-            "rentals": view.rentals.len(), "jobs_active": view.active.len(),
-            "jobs_live": view.live.len(), "waiting": waits})
-    };
+/// Jobs named for each reason to wait, and machines on one page.
+const NAMED: usize = 10;
+const PAGE: usize = 100;
+
+fn answer(body: serde_json::Value) -> Response {
     Response::builder()
         .content_type("application/json")
         .body(body.to_string())
 }
 
-/// `rushwalk admin status`: asks a controller and prints its answer.
-pub async fn ask(address: &str) -> Result<String, String> {
+#[derive(Default)]
+struct Count {
+    all: usize,
+    up: usize,
+    silent: usize,
+    leaving: usize,
+    idle: usize,
+    tasks: usize,
+}
+
+/// Leader, members, grants, machines by zone and type, waiting jobs by reason.
+#[handler]
+pub async fn status(node: Data<&Arc<Node>>) -> Response {
+    let view = node.view();
+    let mut groups: BTreeMap<(&str, &str, bool), Count> = BTreeMap::new();
+    for row in view.machines.values() {
+        let m = &row.machine;
+        let count = groups.entry((&m.zone, &m.kind, m.spot)).or_default();
+        count.all += 1;
+        count.up += usize::from(m.up.is_some());
+        count.silent += usize::from(m.silent.is_some());
+        count.leaving += usize::from(m.stage != Stage::Use);
+        count.idle += usize::from(row.tasks.is_empty());
+        count.tasks += row.tasks.len();
+    }
+    let machines: Vec<_> = groups
+        .into_iter()
+        .map(|((zone, kind, spot), c)| {
+            json!({"zone": zone, "type": kind, "spot": spot, "machines": c.all, "up": c.up,
+                "silent": c.silent, "leaving": c.leaving, "idle": c.idle, "tasks": c.tasks})
+        })
+        .collect();
+    let grants: Vec<_> = view
+        .grants
+        .iter()
+        .map(|(block, (token, grant))| {
+            let machines = view.blocks.get(block).map_or(0, |b| b.len());
+            json!({"block": &**block, "holder": grant.holder, "token": token,
+                "machines": machines})
+        })
+        .collect();
+    let leads = node.leadership(&view).is_some();
+    // Only the leader plans, so only it knows why a job waits.
+    let mut reasons: BTreeMap<&str, Vec<String>> = BTreeMap::new();
+    if leads {
+        for (job, why) in &lock(&node.leading).waits {
+            reasons.entry(why).or_default().push(job.clone());
+        }
+    }
+    let waiting: Vec<_> = reasons
+        .into_iter()
+        .map(|(why, jobs)| json!({"why": why, "jobs": jobs.len(), "first": &jobs[..jobs.len().min(NAMED)]}))
+        .collect();
+    let age = node.synced.borrow().map(|at| at.elapsed().as_secs_f64());
+    answer(json!({"member": node.me(), "leads": leads,
+        "leader": view.leader.as_ref().map(|(_, l)| l.member.clone()),
+        "revision": view.revision, "state_age_s": age, "unreadable": view.unreadable,
+        "snapshot": {"at": view.base.at, "chunks": view.base.chunks, "entries_since": view.entries},
+        "members": view.members.keys().collect::<Vec<_>>(),
+        "grants": grants, "machines": machines,
+        "rentals": view.rentals.len(), "jobs_active": view.active.len(),
+        "jobs_live": view.live.len(), "waiting": waiting}))
+}
+
+#[derive(Deserialize)]
+pub struct From {
+    #[serde(default)]
+    after: String,
+}
+
+/// Machines one by one, a page at a time, in the order of their names.
+#[handler]
+pub async fn page(node: Data<&Arc<Node>>, from: Query<From>) -> Response {
+    let view = node.view();
+    let after = (Bound::Excluded(&*from.after), Bound::Unbounded);
+    let mut rest = view.machines.range::<str, _>(after);
+    let listed: Vec<_> = rest
+        .by_ref()
+        .take(PAGE)
+        .map(|(name, row)| {
+            let m = &row.machine;
+            json!({"name": &**name, "type": &*m.kind, "zone": &*m.zone, "spot": m.spot,
+                "block": &*m.block, "leaving": m.stage != Stage::Use, "up": m.up.is_some(),
+                "silent": m.silent.is_some(), "images": m.images.len(),
+                "tasks": row.tasks.iter().map(|(u, i)| format!("{u}/{i}")).collect::<Vec<_>>()})
+        })
+        .collect();
+    answer(json!({"machines": listed, "more": rest.next().is_some()}))
+}
+
+/// `rushwalk admin`: asks a controller and prints its answer.
+pub async fn ask(address: &str, path: &str) -> Result<String, String> {
     let to = rushwalk_clients::http::address(address).map_err(|e| e.to_string())?;
     let patience = Duration::from_secs(5);
     let answer: serde_json::Value = Http::default()
-        .json(to, Method::GET, "/admin/status", Vec::new(), patience)
+        .json(to, Method::GET, path, Vec::new(), patience)
         .await
         .map_err(|e| format!("{address}: {e}"))?;
     serde_json::to_string_pretty(&answer).map_err(|e| e.to_string())
--- a/crates/rushwalk/src/days.rs
+++ b/crates/rushwalk/src/days.rs
@@ -30,9 +30,13 @@
     world: Arc<World>,
     processes: Vec<Option<Process>>,
     jobs: BTreeMap<String, JobSpec>,
+    /// The team's limit, for controllers started from now on.
+    gpus: f64,
+    /// Changes a second that the state service takes, likewise.
+    write_rps: f64,
 }
 
-fn settings(i: usize) -> Settings {
+fn settings(i: usize, gpus: f64, write_rps: f64) -> Settings {
     let mut settings = Settings::parse(SETTINGS).unwrap();
     let me = format!("node-{i}");
     settings.zone = ZONES[i].into();
@@ -43,6 +47,8 @@
         }
     }
     settings.member = me;
+    settings.site.teams[0].gpus_max = gpus;
+    settings.site.state.write_rps = write_rps;
     settings
 }
 
@@ -59,6 +65,8 @@
             world,
             processes: Vec::from([None, None, None]),
             jobs: BTreeMap::new(),
+            gpus: 20.0,
+            write_rps: 50.0,
         };
         for i in 0..3 {
             day.start(i);
@@ -73,7 +81,11 @@
             node: i,
             alive: alive.clone(),
         };
-        let node = Node::new(settings(i), Http::over(Arc::new(link))).unwrap();
+        let node = Node::new(
+            settings(i, self.gpus, self.write_rps),
+            Http::over(Arc::new(link)),
+        )
+        .unwrap();
         let door = Arc::new(api::routes(node.clone()).map_to_response().boxed());
         let open = move |method: String, path: String, body: Vec<u8>| {
             let door = door.clone();
@@ -378,3 +390,66 @@
     assert_eq!(status("PUT", "/api/jobs", b"").await, 405);
     assert_eq!(status("POST", "/agent/beat", b"\xff\x00").await, 400);
 }
+
+/// The state service takes a few dozen changes a second, whatever the size of
+/// the fleet: a key for each task or machine would not fit.
+#[tokio::test(start_paused = true)]
+async fn writes_follow_rounds_not_tasks() {
+    let mut day = Day::new(8);
+    day.world.rules().limits.insert("red".into(), 4000.0);
+    for i in 0..3 {
+        day.crash(i);
+    }
+    day.gpus = 4000.0;
+    for i in 0..3 {
+        day.start(i);
+    }
+    day.pass(10).await;
+    let before = day.world.writes();
+    let mut jobs = Vec::new();
+    for n in 0..20 {
+        jobs.push(day.submit(n, "sweep", 100, 1.0, 30.0).await);
+    }
+    day.all_done(&jobs, 300).await;
+    let (writes, started) = (day.world.writes() - before, day.world.rules().started);
+    assert!(started >= 2000, "{started}");
+    assert!(day.world.workers().len() >= 250, "machines of four");
+    assert!(writes < started / 2, "{writes} changes for {started} tasks");
+    day.check();
+}
+
+/// After a snapshot the log's keys are used again: whoever starts then must know
+/// all that went before, and tasks must run on.
+#[tokio::test(start_paused = true)]
+async fn a_restart_behind_a_snapshot_loses_nothing() {
+    let mut day = Day::new(9);
+    (0..3).for_each(|i| day.crash(i));
+    // Few changes a second: a snapshot is due early, and more than one.
+    day.write_rps = 10.0;
+    (0..3).for_each(|i| day.start(i));
+    let service = day.submit(1, "standing", 4, 1.0, 0.0).await;
+    let mut jobs = Vec::new();
+    let mut n = 10;
+    let mut snapshots = 0;
+    while snapshots < 2 {
+        n += 1;
+        assert!(n < 400, "no snapshot was made");
+        jobs.push(day.submit(n, "sweep", 2, 1.0, 8.0).await);
+        day.pass(2).await;
+        let base = day.processes[0].as_ref().unwrap().node.view().base;
+        snapshots = snapshots.max(base.generation);
+        assert_eq!(day.world.holds("w/base"), base.generation > 0);
+    }
+    let started = day.world.rules().started;
+    let cancelled = day.submit(5, "standing", 1, 1.0, 0.0).await;
+    day.cancel(&cancelled).await;
+    (0..3).for_each(|i| day.crash(i));
+    day.pass(4).await;
+    (0..3).for_each(|i| day.start(i));
+    day.all_done(&jobs, 200).await;
+    assert_eq!(day.state(&service).await.running, 4);
+    assert_eq!(day.state(&cancelled).await.state, Stance::Cancelled);
+    let again = day.world.rules().started - started;
+    assert!(again <= 12, "{again} tasks started anew");
+    day.check();
+}
--- a/crates/rushwalk/src/main.rs
+++ b/crates/rushwalk/src/main.rs
@@ -55,8 +55,14 @@
 
 #[derive(Subcommand)]
 enum What {
-    /// Leader, grants, machines, and why jobs wait.
+    /// Leader, grants, machines by zone and type, and why jobs wait.
     Status,
+    /// Machines one by one, a page at a time.
+    Machines {
+        /// Begin behind this machine, the last one of the page before.
+        #[arg(long, default_value = "")]
+        after: String,
+    },
 }
 
 fn main() -> ExitCode {
@@ -114,7 +120,13 @@
         .enable_all()
         .build();
     let answer = match (runtime, what) {
-        (Ok(runtime), What::Status) => runtime.block_on(admin::ask(address)),
+        (Ok(runtime), What::Status) => runtime.block_on(admin::ask(address, "/admin/status")),
+        (Ok(runtime), What::Machines { after }) => {
+            // A name has no characters that a path could not hold.
+            let name: String = after.chars().filter(char::is_ascii_graphic).collect();
+            let path = format!("/admin/machines?after={name}");
+            runtime.block_on(admin::ask(address, &path))
+        }
         (Err(error), _) => Err(error.to_string()),
     };
     match answer {
@@ -144,7 +156,9 @@
         let listed = synced.wait_for(|at| at.is_some());
         let _ = tokio::time::timeout(node.times.member, listed).await;
         let listener = TcpListener::bind(public);
-        poem::Server::new(listener).run(api::routes(node.clone())).await
+        poem::Server::new(listener)
+            .run(api::routes(node.clone()))
+            .await
     };
     let (public, mesh) = tokio::join!(public, mesh);
     public.and(mesh).map_err(|e| e.to_string())
--- a/crates/rushwalk/src/mesh.rs
+++ b/crates/rushwalk/src/mesh.rs
@@ -17,6 +17,7 @@
         .at("/mesh/job", post(job))
         .at("/mesh/change", post(take_change))
         .at("/admin/status", get(crate::admin::status))
+        .at("/admin/machines", get(crate::admin::page))
         .data(node)
 }
 
@@ -158,7 +159,7 @@
     // In an outage all ages grow alike, and a peer's is known as of its last
     // message: only one that is well below the limit by now is better off.
     let peers = lock(&node.peers);
-    !peers.values().any(|(at, hello)| {
-        at.elapsed() + Duration::from_millis(hello.state_age_ms) < limit / 2
-    })
+    !peers
+        .values()
+        .any(|(at, hello)| at.elapsed() + Duration::from_millis(hello.state_age_ms) < limit / 2)
 }
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -84,6 +84,17 @@
         })
     }
 
+    /// Puts and deletions that the state service has taken so far.
+    pub fn writes(&self) -> usize {
+        lock(&self.store).writes
+    }
+
+    /// Whether the state service holds a key.
+    pub fn holds(&self, key: &str) -> bool {
+        let items = lock(&self.store).list(key, "").items;
+        items.iter().any(|item| item.key == key)
+    }
+
     pub fn rules(&self) -> MutexGuard<'_, Rules> {
         lock(&self.rules)
     }
