--- a/crates/rushwalk/src/fleet.rs
+++ b/crates/rushwalk/src/fleet.rs
@@ -79,7 +79,7 @@
     let expected = {
         let view = node.view();
         let scarce = scarcity(&view, &lock(&node.leading), &types);
-        let mut expected = spare(&view, &types, now);
+        let mut expected = spare(&view, node, &types, now);
         for (_, job) in &mut expected {
             job.bias = scarce.get(&job.spec.class).cloned().unwrap_or_default();
         }
@@ -542,7 +542,7 @@
 
 /// Arrivals to be expected while a machine would boot: planned in the same
 /// way, so that they find one that is warm.
-fn spare(view: &View, types: &Types, now: u64) -> Vec<(f64, Waiting)> {
+fn spare(view: &View, node: &Node, types: &Types, now: u64) -> Vec<(f64, Waiting)> {
     const BUCKETS: usize = 5;
     let mut out = Vec::new();
     let mut classes: Vec<_> = view
@@ -570,9 +570,13 @@
             }
         });
         let rate = fleet::rate(&buckets, span as f64 / 1000.0);
+        // Who only has to finish by a time can wait a little for a heap's end.
+        let aims = &node.settings.site.objectives;
+        let hurried = aims.iter().any(|a| a.kind == "wait" && a.class == spec.class);
         let z = match spec.priority {
             Priority::Production | Priority::High => 1.5,
-            _ => 1.0,
+            _ if hurried => 1.0,
+            _ => 0.0,
         };
         let latest = times.iter().rev().cycle();
         for (at, (_, spec)) in fleet::arrivals(rate, slowest, z).into_iter().zip(latest) {
