--- a/crates/rushwalk/src/fleet.rs
+++ b/crates/rushwalk/src/fleet.rs
@@ -215,13 +215,21 @@
 
 fn offers(view: &View, memory: &LeaderMemory, types: &Types) -> Vec<Offer> {
     let now = Instant::now();
-    let mut ours: BTreeMap<&str, usize> = BTreeMap::new();
+    // Machines of ours in each zone, and how many of them are silent.
+    let mut ours: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
     for row in view.machines.values() {
-        *ours.entry(&row.machine.zone).or_default() += 1;
+        let there = ours.entry(&row.machine.zone).or_default();
+        there.0 += 1;
+        there.1 += usize::from(row.machine.silent.is_some());
     }
     let mut out = Vec::new();
     for (group, kind) in types.types.iter().enumerate() {
         for zone in &kind.zones {
+            let (all, silent) = ours.get(zone.as_str()).copied().unwrap_or_default();
+            if silent > 2 && silent * 2 > all {
+                // A zone that is cut off: what is rented there is so too.
+                continue;
+            }
             for spot in [true, false] {
                 if spot && kind.spot_price.is_none() {
                     continue;
@@ -236,7 +244,7 @@
                     group,
                     zone: zone.as_str().into(),
                     spot,
-                    ours: ours.get(zone.as_str()).copied().unwrap_or(0),
+                    ours: all,
                 });
             }
         }
@@ -572,7 +580,9 @@
         let rate = fleet::rate(&buckets, span as f64 / 1000.0);
         // Who only has to finish by a time can wait a little for a heap's end.
         let aims = &node.settings.site.objectives;
-        let hurried = aims.iter().any(|a| a.kind == "wait" && a.class == spec.class);
+        let hurried = aims
+            .iter()
+            .any(|a| a.kind == "wait" && a.class == spec.class);
         let z = match spec.priority {
             Priority::Production | Priority::High => 1.5,
             _ if hurried => 1.0,
@@ -586,10 +596,45 @@
             out.push((at, phantom));
         }
     }
+    out.extend(returning(view, node, types, now));
     out.sort_by(|a, b| a.0.total_cmp(&b.0));
     out
 }
 
+/// Services on silent machines that may have to start anew when the leases have
+/// run out: a place is made ready for them while a machine would boot.
+fn returning(view: &View, node: &Node, types: &Types, now: u64) -> Vec<(f64, Waiting)> {
+    let times = &node.times;
+    let last = (times.lease + times.loan).saturating_sub(times.silent);
+    let lead = types.types.iter().map(|t| t.boot_s).fold(0.0, f64::max) * 1.5;
+    let mut jobs: BTreeMap<&Name, (f64, Vec<u32>)> = BTreeMap::new();
+    for row in view.machines.values() {
+        let Some(silent) = row.machine.silent else {
+            continue;
+        };
+        let until = silent as f64 / 1000.0 + last.as_secs_f64() - now as f64 / 1000.0;
+        if until > lead {
+            continue;
+        }
+        for (uid, index) in &row.tasks {
+            let job = view.jobs.get(uid).filter(|j| j.phase == Phase::Active);
+            if job.is_some_and(|j| j.spec.shape == Shape::Service) {
+                let entry = jobs.entry(uid).or_insert((until.max(0.0), Vec::new()));
+                entry.1.push(*index);
+            }
+        }
+    }
+    let mut out = Vec::new();
+    for (uid, (until, tasks)) in jobs {
+        if let Some(job) = view.jobs.get(uid) {
+            let mut waiting = slots::waiting(view, &job.spec, types);
+            waiting.indexes = tasks;
+            out.push((until, waiting));
+        }
+    }
+    out
+}
+
 /// Rents what the round found lacking.
 fn rent(round: &Round, now: u64) -> Vec<Op> {
     let mut wanted: BTreeMap<(&Name, &Name, bool), u32> = BTreeMap::new();
--- a/crates/rushwalk/src/rigs.rs
+++ b/crates/rushwalk/src/rigs.rs
@@ -102,15 +102,16 @@
 
     /// Whether its worker's lease has surely run out, and all tasks with it.
     /// Nobody can have renewed it later than we did, but an earlier holder that
-    /// does not know of us, for as long as a block is lent. All clocks may drift;
-    /// our own answers may have been late by a part of a report interval.
+    /// does not know of us, for as long as a block is lent. All clocks may drift.
+    /// Pauses do no harm: a lease counts from the sending of the report that was
+    /// answered, which is before the answer.
     pub fn lease_over(&self, times: &Times) -> bool {
         let Some((_, since)) = self.since else {
             return false;
         };
         let last = (since + times.loan).max(self.renewed.unwrap_or(since));
         let last = last.max(self.heard.unwrap_or(since));
-        last.elapsed() > times.lease.mul_f64(1.002) + times.report / 4
+        last.elapsed() > times.lease.mul_f64(1.002) + times.round / 2
     }
 
     pub fn says(&self, uid: &str, index: u32, attempt: u64) -> Option<&TaskReport> {
