What an earlier tenure knew of a lease proves nothing under a new token

Now such records count only under the token they were made with. Tokens given to fence starts keep them, and are not given for silent machines, whose leases they had kept from ever counting as over. Also: a machine on which three jobs fail in a row is set aside; one look-up for tasks.

--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -142,12 +142,9 @@
             continue;
         };
         marks(node, name, row, rig, &mut out);
-        let lost = row.machine.silent.is_some() && rig.lease_over(&node.times);
+        let lost = row.machine.silent.is_some() && rig.lease_over(token, &node.times);
         for (uid, index) in &row.tasks {
-            let Some(job) = view.jobs.get(uid) else {
-                continue;
-            };
-            let Some(t) = job.tasks.get(index) else {
+            let Some((job, t)) = view.task(uid, *index) else {
                 continue;
             };
             let attempt = t.task.attempt;
@@ -441,7 +438,9 @@
                 let row = view.machines.get(name)?;
                 let token = *held.get(&row.machine.block)?;
                 // Nothing to judge on it, or soon gone with all on it.
-                let matters = !row.tasks.is_empty() && row.machine.stage != Stage::Delete;
+                // A silent machine's starts end with its lease.
+                let quiet = row.machine.silent.is_some() || row.machine.stage == Stage::Delete;
+                let matters = !row.tasks.is_empty() && !quiet;
                 (matters && under >= token).then(|| (row.machine.block.clone(), token))
             });
             tainted.collect()
@@ -454,7 +453,14 @@
             };
             let key = rec::grant_key(&block);
             let txn = Transaction::default().when(&key, token).put(&key, &grant);
-            let _ = node.commit(txn, For::Upkeep).await;
+            if let Outcome::Done(new) = node.commit(txn, For::Upkeep).await {
+                // Nobody else held it in between: what is known stays known.
+                for rig in lock(&node.rigs).all.values_mut() {
+                    rig.since = rig
+                        .since
+                        .map(|(t, at)| (if t == token { new } else { t }, at));
+                }
+            }
         }
     }
 }
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -220,6 +220,10 @@
     (!txn.writes.is_empty()).then_some(txn)
 }
 
+/// So many jobs that fail on a machine, with none finishing in between, show that
+/// it is faulty; one or two may have been submitted with a mistake.
+const FAULTY: usize = 3;
+
 /// Broken gangs, assignments that no holder took up, machines to be given up.
 fn upkeep(node: &Node) -> Vec<Op> {
     let view = node.view();
@@ -255,6 +259,7 @@
         }
     }
     let mut given_up = Vec::new();
+    let mut aside = Vec::new();
     for (name, row) in &view.machines {
         if row.machine.stage == Stage::Delete {
             continue;
@@ -264,14 +269,15 @@
             given_up.push(name.clone());
             continue;
         }
+        if row.machine.stage == Stage::Use && row.failed.len() >= FAULTY {
+            tracing::info!(machine = &**name, jobs = ?row.failed, "machine set aside");
+            aside.push(name.clone());
+        }
         if row.machine.stage != Stage::Drain {
             continue;
         }
         for (uid, index) in &row.tasks {
-            let Some(job) = view.jobs.get(uid) else {
-                continue;
-            };
-            let Some(t) = job.tasks.get(index) else {
+            let Some((job, t)) = view.task(uid, *index) else {
                 continue;
             };
             let open = t.task.stop.is_none() && job.phase == Phase::Active;
@@ -290,6 +296,9 @@
             ops.push(Op::Stop(uid.clone(), attempt, why, some.to_vec()));
         }
     }
+    for some in aside.chunks(LISTED) {
+        ops.push(Op::Stage(Stage::Drain, some.to_vec()));
+    }
     for some in given_up.chunks(LISTED) {
         ops.push(Op::Stage(Stage::Delete, some.to_vec()));
     }
--- a/crates/rushwalk/src/rigs.rs
+++ b/crates/rushwalk/src/rigs.rs
@@ -105,10 +105,17 @@
     /// does not know of us, for as long as a block is lent. All clocks may drift.
     /// Pauses do no harm: a lease counts from the sending of the report that was
     /// answered, which is before the answer.
-    pub fn lease_over(&self, times: &Times) -> bool {
-        let Some((_, since)) = self.since else {
+    ///
+    /// What is known of an earlier tenure proves nothing under this token: in
+    /// between others may have answered. (Once it was taken for proof, and tasks
+    /// behind a cut ran twice.)
+    pub fn lease_over(&self, token: u64, times: &Times) -> bool {
+        let Some((under, since)) = self.since else {
             return false;
         };
+        if under != token {
+            return false;
+        }
         let last = (since + times.loan).max(self.renewed.unwrap_or(since));
         let last = last.max(self.heard.unwrap_or(since));
         last.elapsed() > times.lease.mul_f64(1.002) + times.round / 2
@@ -136,10 +143,7 @@
         return out;
     };
     for (uid, index) in &row.tasks {
-        let Some(job) = view.jobs.get(uid) else {
-            continue;
-        };
-        let Some(t) = job.tasks.get(index) else {
+        let Some((job, t)) = view.task(uid, *index) else {
             continue;
         };
         let attempt = t.task.attempt;
@@ -257,19 +261,20 @@
         let times = Times::new(&settings);
         let (lease, loan) = (times.lease, times.loan);
         let mut rig = Rig::default();
-        assert!(!rig.lease_over(&times), "never looked after");
+        assert!(!rig.lease_over(7, &times), "never looked after");
         rig.since = Some((7, Instant::now()));
         tokio::time::advance(lease + Duration::from_secs(2)).await;
         assert!(
-            !rig.lease_over(&times),
+            !rig.lease_over(7, &times),
             "an earlier holder may have answered"
         );
         tokio::time::advance(loan).await;
-        assert!(rig.lease_over(&times));
+        assert!(rig.lease_over(7, &times));
+        assert!(!rig.lease_over(8, &times), "lent to others in between");
         rig.renewed = Some(Instant::now());
         tokio::time::advance(lease).await;
-        assert!(!rig.lease_over(&times), "clocks drift");
+        assert!(!rig.lease_over(7, &times), "clocks drift");
         tokio::time::advance(Duration::from_secs(1)).await;
-        assert!(rig.lease_over(&times));
+        assert!(rig.lease_over(7, &times));
     }
 }
--- a/crates/rushwalk/src/slots.rs
+++ b/crates/rushwalk/src/slots.rs
@@ -53,10 +53,7 @@
         .map(|(i, _)| (i.clone(), 0.0))
         .collect();
     for (uid, index) in &row.tasks {
-        let Some(job) = view.jobs.get(uid) else {
-            continue;
-        };
-        let Some(task) = job.tasks.get(index) else {
+        let Some((job, task)) = view.task(uid, *index) else {
             continue;
         };
         let until = predicted_end(view, job, task, row, now);
--- a/crates/rushwalk/src/view.rs
+++ b/crates/rushwalk/src/view.rs
@@ -169,7 +169,7 @@
                 Some("s") => {
                     chunks.insert(item.key, item.value);
                 }
-                _ => view.put(item.key, &item.value, item.version, now_ms),
+                _ => view.put(item.key, &item.value, item.version),
             }
         }
         let base = view.base;
@@ -219,7 +219,7 @@
                         self.entry(&key, &value, event.version, now_ms, false);
                         self.log.insert(key, event.version);
                     } else {
-                        self.put(key, &value, event.version, now_ms);
+                        self.put(key, &value, event.version);
                     }
                 }
                 (_, _, Some(key)) => self.dropped(&key),
@@ -250,7 +250,7 @@
         }
     }
 
-    fn put(&mut self, key: String, value: &Value, version: u64, now_ms: u64) {
+    fn put(&mut self, key: String, value: &Value, version: u64) {
         let Some(path) = key.strip_prefix(rec::ROOT) else {
             return;
         };
@@ -278,7 +278,6 @@
         if known.is_none() {
             self.fail(&key);
         }
-        let _ = now_ms;
         self.versions.insert(key, version);
     }
 
@@ -487,6 +486,12 @@
         }
     }
 
+    /// A live task, with its job.
+    pub fn task(&self, uid: &str, index: u32) -> Option<(&JobRow, &TaskRow)> {
+        let job = self.jobs.get(uid)?;
+        Some((job, job.tasks.get(&index)?))
+    }
+
     fn current(&self, uid: &str, attempt: u64, index: u32) -> Option<&TaskRow> {
         let task = self.jobs.get(uid)?.tasks.get(&index)?;
         (task.task.attempt == attempt).then_some(task)
