Retry-After from the budget; a finish reported before a lease ran out counts

A 429 said to come back after a second whatever the budget; a task that its worker had reported done just before it fell silent was run again.

--- a/crates/rushwalk/src/api.rs
+++ b/crates/rushwalk/src/api.rs
@@ -1,7 +1,7 @@
 //! The users' and workers' interface on the public address.
 
 use crate::mesh;
-use crate::node::{Node, now_ms};
+use crate::node::{Node, lock, now_ms};
 use crate::rigs::{self, Reply};
 use poem::http::StatusCode;
 use poem::web::{Data, Path};
@@ -16,7 +16,7 @@
 use serde::Serialize;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 pub fn routes(node: Arc<Node>) -> impl Endpoint {
     Route::new()
@@ -49,6 +49,16 @@
     response
 }
 
+/// Refused for want of changes: come back when the budget will have some.
+fn too_many(node: &Node) -> Response {
+    let mut response = refuse(StatusCode::TOO_MANY_REQUESTS, "too many requests");
+    let wait = lock(&node.write_budget).wait(1.0, 0.0, Instant::now());
+    let seconds = wait.as_secs_f64().ceil().clamp(1.0, 30.0) as u64;
+    let after = poem::http::HeaderValue::from(seconds);
+    response.headers_mut().insert("retry-after", after);
+    response
+}
+
 fn not_now(why: &str) -> Response {
     refuse(StatusCode::SERVICE_UNAVAILABLE, why)
 }
@@ -192,10 +202,8 @@
                 None => not_now("try again"),
             }
         }
-        Some(Outcome::Refused(error)) if error.status() == Some(429) => {
-            refuse(StatusCode::TOO_MANY_REQUESTS, "too many submissions")
-        }
-        None => refuse(StatusCode::TOO_MANY_REQUESTS, "too many submissions"),
+        Some(Outcome::Refused(error)) if error.status() == Some(429) => too_many(node),
+        None => too_many(node),
         _ => not_now("the state service does not answer"),
     }
 }
@@ -264,10 +272,8 @@
             tracing::info!(job = uid, "job cancelled");
             answer(node, uid).await
         }
-        Some(Outcome::Refused(error)) if error.status() == Some(429) => {
-            refuse(StatusCode::TOO_MANY_REQUESTS, "too many requests")
-        }
-        None => refuse(StatusCode::TOO_MANY_REQUESTS, "too many requests"),
+        Some(Outcome::Refused(error)) if error.status() == Some(429) => too_many(node),
+        None => too_many(node),
         _ => not_now("the state service does not answer"),
     }
 }
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -149,11 +149,6 @@
             };
             let attempt = t.task.attempt;
             let active = job.phase == Phase::Active;
-            if lost {
-                tracing::info!(job = &**uid, index, machine = &**name, "lease ran out");
-                out.ends(uid, attempt, How::Gone, *index);
-                continue;
-            }
             match rig.says(uid, *index, attempt) {
                 Some(r) if r.state == TaskState::Exited => {
                     let how = match r.cause {
@@ -168,6 +163,10 @@
                     }
                     out.ends(uid, attempt, how, *index);
                 }
+                _ if lost => {
+                    tracing::info!(job = &**uid, index, machine = &**name, "lease ran out");
+                    out.ends(uid, attempt, How::Gone, *index);
+                }
                 Some(r) => {
                     if r.state == TaskState::Running && t.task.ran.is_none() {
                         let (class, since) = (&job.spec.class, now.saturating_sub(job.at));
