--- a/crates/rushwalk/src/admin.rs
+++ b/crates/rushwalk/src/admin.rs
@@ -83,7 +83,7 @@
         "snapshot": {"at": view.base.at, "chunks": view.base.chunks, "entries_since": view.entries},
         "members": view.members.keys().collect::<Vec<_>>(),
         "grants": grants, "machines": machines,
-        "rentals": view.rentals.len(), "jobs_active": view.active.len(),
+        "work": node.meter.told(), "rentals": view.rentals.len(), "jobs_active": view.active.len(),
         "jobs_live": view.live.len(), "waiting": waiting}))
 }
 
--- a/crates/rushwalk/src/api.rs
+++ b/crates/rushwalk/src/api.rs
@@ -1,6 +1,7 @@
 //! The users' and workers' interface on the public address.
 
 use crate::mesh;
+use crate::meter::Work;
 use crate::node::{Node, lock, now_ms};
 use crate::rigs::{self, Reply};
 use poem::http::StatusCode;
@@ -292,6 +293,7 @@
         Ok(body) => body,
         Err(response) => return response,
     };
+    let _turn = node.meter.turn(Work::Report);
     let report: Report = match serde_json::from_slice(&body) {
         Ok(report) => report,
         Err(error) => return refuse(StatusCode::BAD_REQUEST, error.to_string()),
--- a/crates/rushwalk/src/fleet.rs
+++ b/crates/rushwalk/src/fleet.rs
@@ -2,6 +2,7 @@
 //! what to rent, and what to give back.
 
 use crate::leader::{LISTED, LeaderMemory, zone_of};
+use crate::meter::Work;
 use crate::node::{Node, lock, now_ms};
 use crate::slots;
 use crate::view::{Name, View};
@@ -30,6 +31,7 @@
 pub async fn plan(node: &Node) -> Vec<Op> {
     let now = now_ms();
     let (mut round, waiting, types) = {
+        let _turn = node.meter.turn(Work::Place);
         let mut view = node.view();
         let Some(types) = view.types.clone() else {
             return Vec::new();
@@ -46,12 +48,15 @@
     };
     let mut decisions = Decisions::default();
     for some in waiting.chunks(AT_ONCE) {
+        let turn = node.meter.turn(Work::Place);
         let some = round.run(some);
+        drop(turn);
         decisions.placed.extend(some.placed);
         decisions.waits.extend(some.waits);
         yield_now().await;
     }
     let mut ops = {
+        let _turn = node.meter.turn(Work::Place);
         let view = node.view();
         let mut memory = lock(&node.leading);
         let mut ops = assign(&view, &round, &decisions, now);
@@ -77,6 +82,7 @@
         return ops;
     }
     let expected = {
+        let _turn = node.meter.turn(Work::Size);
         let view = node.view();
         let scarce = scarcity(&view, &lock(&node.leading), &types);
         let mut expected = spare(&view, node, &types, now);
@@ -87,6 +93,7 @@
     };
     let missing = round.slots.len() > round.rent_from;
     // Would fewer machines do, for what waits and what is expected?
+    let turn = node.meter.turn(Work::Size);
     let mut closed = match missing {
         true => Vec::new(),
         false => shrink(
@@ -97,8 +104,9 @@
             now,
         ),
     };
+    drop(turn);
     let before = (!closed.is_empty()).then(|| round.slots.clone());
-    let late = expect(&mut round, &expected).await;
+    let late = expect(node, &mut round, &expected).await;
     if let Some(before) = before {
         // Not more may be late than were with all machines, but for a few.
         let all: usize = expected.iter().map(|(_, job)| job.indexes.len()).sum();
@@ -120,11 +128,12 @@
             round.slots = before;
             round.slots.iter_mut().for_each(|s| s.closed = false);
             closed.clear();
-            lock(&node.leading).late = expect(&mut round, &expected).await;
+            lock(&node.leading).late = expect(node, &mut round, &expected).await;
         }
     } else {
         lock(&node.leading).late = late;
     }
+    let _turn = node.meter.turn(Work::Size);
     let rent = rent(&round, now);
     let view = node.view();
     let mut memory = lock(&node.leading);
@@ -156,14 +165,16 @@
 }
 
 /// Plans what is expected, each job for its time; how many tasks would wait.
-async fn expect(round: &mut Round<'_>, expected: &[(f64, Waiting)]) -> usize {
+async fn expect(node: &Node, round: &mut Round<'_>, expected: &[(f64, Waiting)]) -> usize {
     let mut late = 0;
     for some in expected.chunks(AT_ONCE) {
+        let turn = node.meter.turn(Work::Size);
         for (at, job) in some {
             round.now = round.clock + at;
             let decisions = round.run(std::slice::from_ref(job));
             late += job.indexes.len() - decisions.placed.len();
         }
+        drop(turn);
         yield_now().await;
     }
     round.now = round.clock;
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -1,6 +1,7 @@
 //! A block's holder: places tasks on its machines, commits outcomes, and only
 //! then commands. All that a tick decides and learns goes into one entry.
 
+use crate::meter::Work;
 use crate::node::{For, Node, lock, now_ms};
 use crate::rigs::{Rig, Rigs, commands};
 use crate::slots;
@@ -36,6 +37,7 @@
             looked = Some(Instant::now());
         }
         let (conditions, ops) = {
+            let _turn = node.meter.turn(Work::Hold);
             let mut view = node.view();
             let mut rigs = lock(&node.rigs);
             dirty.append(&mut view.dirty);
@@ -65,6 +67,7 @@
                 }
             }
         }
+        let _turn = node.meter.turn(Work::Hold);
         dirty.append(&mut node.view().dirty);
         send(&node, &std::mem::take(&mut dirty));
     }
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -3,6 +3,7 @@
 //! version of the leader key.
 
 use crate::fleet;
+use crate::meter::Work;
 use crate::node::{For, Node, lock, now_ms};
 use crate::slots;
 use crate::view::{JobRow, Name, TaskRow, View};
@@ -81,7 +82,10 @@
         };
         if let Some(version) = leading
             && !lock(&node.leading).uncertain
-            && let Some(txn) = lend(&node, version)
+            && let Some(txn) = {
+                let _turn = node.meter.turn(Work::Lend);
+                lend(&node, version)
+            }
         {
             commit(&node, txn, For::Work).await;
             node.fresh(node.times.round).await;
@@ -118,7 +122,10 @@
 }
 
 async fn round(node: &Arc<Node>, version: u64) {
-    let mut ops = upkeep(node);
+    let mut ops = {
+        let _turn = node.meter.turn(Work::Place);
+        upkeep(node)
+    };
     let leads = |node: &Node| {
         let view = node.view();
         node.leadership(&view) == Some(version)
--- a/crates/rushwalk/src/main.rs
+++ b/crates/rushwalk/src/main.rs
@@ -8,6 +8,7 @@
 mod leader;
 mod log;
 mod mesh;
+mod meter;
 mod node;
 mod rigs;
 mod slots;
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::leader::LeaderMemory;
 use crate::log::{Asked, Slots};
+use crate::meter::Meter;
 use crate::rigs::Rigs;
 use crate::view::View;
 use rushwalk_clients::budget::Budget;
@@ -79,6 +80,7 @@
     pub synced: watch::Sender<Option<Instant>>,
     pub fresh_wanted: Notify,
     pub member_lease: Mutex<Option<u64>>,
+    pub meter: Meter,
 }
 
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -120,6 +122,7 @@
         tokio::spawn(crate::cloud::cloud_loop(node.clone())),
         tokio::spawn(crate::snapshot::snapshot_loop(node.clone())),
         tokio::spawn(crate::mesh::hello_loop(node.clone())),
+        tokio::spawn(tell_loop(node.clone())),
     ];
     if let Some(queue) = lock(&node.users_queue).take() {
         loops.push(tokio::spawn(crate::log::users_loop(node.clone(), queue)));
@@ -127,6 +130,18 @@
     loops
 }
 
+/// Says once in a lease where the time went, for whoever follows the log.
+async fn tell_loop(node: Arc<Node>) {
+    let started = Instant::now();
+    loop {
+        tokio::time::sleep(node.times.lease).await;
+        let metrics = tokio::runtime::Handle::current().metrics();
+        let busy_s = metrics.worker_total_busy_duration(0).as_secs_f64();
+        let up_s = started.elapsed().as_secs_f64();
+        tracing::info!(up_s, busy_s, work = %node.meter.told(), "time spent");
+    }
+}
+
 impl Node {
     pub fn new(settings: Settings, http: Http) -> Result<Arc<Node>, rushwalk_clients::Error> {
         let state: SocketAddr = rushwalk_clients::http::address(&settings.services.state)?;
@@ -157,6 +172,7 @@
             synced: watch::Sender::new(None),
             fresh_wanted: Notify::new(),
             member_lease: Mutex::default(),
+            meter: Meter::default(),
             settings,
             times,
         }))
--- a/crates/rushwalk/src/snapshot.rs
+++ b/crates/rushwalk/src/snapshot.rs
@@ -2,6 +2,7 @@
 //! can be used again and a controller that starts has little to read.
 
 use crate::log;
+use crate::meter::Work;
 use crate::node::{For, Node};
 use rushwalk_clients::state::Outcome;
 use rushwalk_wire::records::{self as rec, Base, LEADER};
@@ -32,6 +33,7 @@
 /// count. All on condition of the leader key: of two leaders one fails.
 async fn write(node: &Node) -> bool {
     let (version, base, base_version, packed) = {
+        let _turn = node.meter.turn(Work::Snapshot);
         let view = node.view();
         let Some(version) = node.leadership(&view) else {
             return false;
--- a/crates/rushwalk/src/sync.rs
+++ b/crates/rushwalk/src/sync.rs
@@ -1,5 +1,6 @@
 //! Keeping the view new, the member lease alive, and a leader elected.
 
+use crate::meter::Work;
 use crate::node::{For, Node, lock, now_ms};
 use crate::view::View;
 use rushwalk_clients::Error;
@@ -33,7 +34,10 @@
     // place once it has passed all that the listing may have shown.
     let revision = revision.unwrap_or(0);
     let last = last.max(node.view().revision);
-    let Some(mut view) = View::listed(items, revision, now_ms()) else {
+    let turn = node.meter.turn(Work::List);
+    let listed = View::listed(items, revision, now_ms());
+    drop(turn);
+    let Some(mut view) = listed else {
         return Err(Error::Unknown("the snapshot was replaced meanwhile".into()));
     };
     while view.revision < last {
@@ -60,7 +64,9 @@
 
 /// Takes a watch's answer into the view.
 fn take(node: &Node, sent: Instant, answer: Changes) {
+    let turn = node.meter.turn(Work::Watch);
     node.view().watch(answer, now_ms());
+    drop(turn);
     synced(node, sent);
 }
 
