Planning by bounds: a machine is looked at closely only when it may be the best

Cause: the leader's round compared names of images, zones and types for each machine and job, and worked out the exact finish on every machine. Now images and zones are numbers, a cheap bound orders the machines, and only those are worked out that nothing comes before; offers are made once a round, plans that are not undone keep no copies. The test against the plain search holds.

--- a/crates/plan/src/quota.rs
+++ b/crates/plan/src/quota.rs
@@ -4,6 +4,7 @@
 use rushwalk_wire::jobs::JobSpec;
 use rushwalk_wire::settings::Team;
 use std::collections::HashMap;
+use std::sync::Arc;
 
 /// What teams use: tasks count until they are surely gone.
 #[derive(Debug, Clone, Default)]
@@ -91,19 +92,22 @@
 
 /// The zones in which a job's tasks are, lingering ones included.
 #[derive(Debug, Clone, Default)]
-pub struct Places(pub HashMap<String, u32>);
+pub struct Places(Vec<(Arc<str>, u32)>);
 
 impl Places {
     pub fn add(&mut self, zone: &str) {
-        *self.0.entry(zone.to_string()).or_default() += 1;
+        match self.0.iter_mut().find(|(z, _)| **z == *zone) {
+            Some((_, n)) => *n += 1,
+            None => self.0.push((zone.into(), 1)),
+        }
     }
 
     /// Whether one more task may go to `zone`.
     pub fn allows(&self, spec: &JobSpec, zone: &str) -> bool {
-        if spec.one_zone && self.0.keys().any(|z| z != zone) {
+        if spec.one_zone && self.0.iter().any(|(z, _)| **z != *zone) {
             return false;
         }
-        let there = self.0.get(zone).copied().unwrap_or(0);
-        !spec.spread || there < spec.tasks.div_ceil(2)
+        let there = self.0.iter().find(|(z, _)| **z == *zone);
+        !spec.spread || there.map_or(0, |(_, n)| *n) < spec.tasks.div_ceil(2)
     }
 }
--- a/crates/plan/src/round.rs
+++ b/crates/plan/src/round.rs
@@ -7,11 +7,12 @@
 
 use crate::Amount;
 use crate::quota::{Places, Usage};
-use crate::slot::{Finish, Slot};
+use crate::slot::{Finish, ImageId, Slot};
 use rushwalk_wire::jobs::{JobSpec, Shape};
 use rushwalk_wire::settings::Team;
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
+use std::collections::binary_heap::PeekMut;
 use std::sync::Arc;
 
 /// What a task takes on machines of one group.
@@ -21,6 +22,8 @@
     pub fetch_s: f64,
     /// How long another machine of the group would boot.
     pub boot_s: f64,
+    /// Whether the job may use the group, and a task fits an empty machine.
+    pub allowed: bool,
 }
 
 /// A job with tasks that have no machine.
@@ -28,6 +31,7 @@
 pub struct Waiting {
     pub spec: Arc<JobSpec>,
     pub amount: Amount,
+    pub image: ImageId,
     /// Per group, in the order of the round's types.
     pub estimates: Vec<Estimate>,
     pub overhead_s: f64,
@@ -41,6 +45,18 @@
 }
 
 impl Waiting {
+    fn allows(&self, slot: &Slot) -> bool {
+        !slot.closed
+            && (self.spec.spot || !slot.spot)
+            && self.estimates.get(slot.group).is_some_and(|e| e.allowed)
+    }
+
+    /// Whether its next task may go to a zone.
+    fn open(&self, zone: &str) -> bool {
+        self.spec.zone.as_ref().is_none_or(|z| **z == *zone)
+            && self.places.allows(&self.spec, zone)
+    }
+
     fn bias(&self, group: usize, spot: bool) -> f64 {
         self.bias.get(group).map_or(1.0, |b| b[usize::from(spot)])
     }
@@ -56,10 +72,8 @@
 /// A kind of machine that may be rented now.
 #[derive(Debug, Clone)]
 pub struct Offer {
-    pub kind: rushwalk_wire::cloud::MachineType,
-    pub group: usize,
-    pub zone: Arc<str>,
-    pub spot: bool,
+    /// A machine of that kind, rented at the round's time.
+    pub slot: Slot,
     /// Machines of ours in that zone: the emptier zone wins a tie.
     pub ours: usize,
 }
@@ -69,6 +83,7 @@
     pub now: f64,
     /// The time at which a machine rented now begins to boot.
     pub clock: f64,
+    pub zones: Vec<Arc<str>>,
     pub slots: Vec<Slot>,
     pub offers: Vec<Offer>,
     pub teams: &'a [Team],
@@ -76,8 +91,6 @@
     /// Finishes within the same span of this length count as equal; then the
     /// cheaper and fuller machine wins.
     pub tie_s: f64,
-    /// Booting takes this many times the nominal boot time.
-    pub boot_factor: f64,
     /// Slots beyond this index are rentals decided in this round.
     pub rent_from: usize,
 }
@@ -89,12 +102,13 @@
     pub waits: Vec<(String, &'static str)>,
 }
 
-/// A machine that could take the next task of a job.
+/// A machine that could take the next task of a job. It comes in by a bound, with
+/// the least rank there is; only when nothing comes before that is it looked at.
 struct Candidate {
     span: i64,
     rank: f64,
     slot: usize,
-    finish: Finish,
+    finish: Option<Finish>,
 }
 
 impl PartialEq for Candidate {
@@ -148,32 +162,75 @@
             span: (score / self.tie_s) as i64,
             rank: slot.price / fit * (0.5 + room) * job.bias(slot.group, slot.spot),
             slot: i,
-            finish,
+            finish: Some(finish),
         })
     }
 
     fn candidates(
         &self,
         job: &Waiting,
-        zone: Option<&str>,
+        zone: Option<usize>,
         free_now: bool,
     ) -> BinaryHeap<Reverse<Candidate>> {
+        let open: Vec<bool> = self.zones.iter().map(|z| job.open(z)).collect();
         let fits = |slot: &Slot| {
-            zone.is_none_or(|z| *z == *slot.zone)
-                && slot.allowed(&job.spec)
-                && job.places.allows(&job.spec, &slot.zone)
+            zone.is_none_or(|z| z == slot.zone)
+                && job.allows(slot)
+                && open.get(slot.zone) == Some(&true)
                 && !job.avoid.contains(&slot.name)
         };
-        let all = self.slots.iter().enumerate();
-        let all = all.filter(|(_, slot)| (!free_now || slot.up) && fits(slot));
-        all.filter_map(|(i, _)| self.candidate(i, job, free_now).map(Reverse))
-            .collect()
+        let mut all = Vec::new();
+        for (i, slot) in self.slots.iter().enumerate() {
+            if (free_now && !slot.up) || !fits(slot) {
+                continue;
+            }
+            let Some(bound) = slot.bound(job, self.now) else {
+                continue;
+            };
+            if free_now && bound.start > self.now {
+                continue;
+            }
+            let score = self.score(slot, &job.spec, &bound) - self.now;
+            all.push(Reverse(Candidate {
+                span: (score / self.tie_s) as i64,
+                rank: f64::NEG_INFINITY,
+                slot: i,
+                finish: None,
+            }));
+        }
+        BinaryHeap::from(all)
+    }
+
+    /// The best machine, left in its place, once no other can be better.
+    fn first(
+        &self,
+        heap: &mut BinaryHeap<Reverse<Candidate>>,
+        job: &Waiting,
+        free_now: bool,
+    ) -> Option<(usize, Finish)> {
+        loop {
+            let mut top = heap.peek_mut()?;
+            // A zone that is closed to the job stays so: its tasks only grow.
+            if !job.open(&self.zones[self.slots[top.0.slot].zone]) {
+                PeekMut::pop(top);
+                continue;
+            }
+            if let Some(finish) = top.0.finish {
+                return Some((top.0.slot, finish));
+            }
+            match self.candidate(top.0.slot, job, free_now) {
+                Some(exact) => *top = Reverse(exact),
+                None => {
+                    PeekMut::pop(top);
+                }
+            }
+        }
     }
 
     /// Index and finish of the best machine for one task.
     pub fn best(&self, job: &Waiting, free_now: bool) -> Option<(usize, Finish)> {
         let mut all = self.candidates(job, None, free_now);
-        all.pop().map(|Reverse(c)| (c.slot, c.finish))
+        self.first(&mut all, job, free_now)
     }
 
     /// What decides between machines, in seconds; the least is best.
@@ -193,17 +250,17 @@
     }
 
     /// The cheapest new machine for a task whose best score is `otherwise`.
-    fn offer(&self, job: &Waiting, zone: Option<&str>, otherwise: f64) -> Option<Slot> {
+    fn offer(&self, job: &Waiting, zone: Option<usize>, otherwise: f64) -> Option<Slot> {
         let spec = &job.spec;
-        let mut best: Option<(f64, usize, Slot)> = None;
+        let mut best: Option<(f64, usize, &Slot)> = None;
+        let mut new = vec![0; self.zones.len()];
+        for slot in self.slots.iter().skip(self.rent_from) {
+            new[slot.zone] += 1;
+        }
         for offer in &self.offers {
-            if zone.is_some_and(|z| *z != *offer.zone) || !job.places.allows(spec, &offer.zone) {
-                continue;
-            }
-            let ready = self.clock + offer.kind.boot_s * self.boot_factor;
-            let zone = offer.zone.clone();
-            let slot = Slot::new("".into(), offer.group, &offer.kind, zone, offer.spot, ready);
-            if !slot.allowed(spec) {
+            let slot = &offer.slot;
+            let there = zone.is_none_or(|z| z == slot.zone) && job.open(&self.zones[slot.zone]);
+            if !there || !job.allows(slot) {
                 continue;
             }
             let Some(finish) = slot.finish(job, self.now) else {
@@ -212,16 +269,12 @@
             // By the same measure as machines that are there: with another
             // one, a rental decided now would be found wanting in the next
             // round, and each round would rent more.
-            if self.score(&slot, spec, &finish) + self.tie_s >= otherwise {
+            if self.score(slot, spec, &finish) + self.tie_s >= otherwise {
                 continue;
             }
             let fit = job.amount.times_in(&slot.whole, u32::MAX).max(1);
             let cost = slot.price / f64::from(fit) * job.bias(slot.group, slot.spot);
-            let new = self.slots[self.rent_from.min(self.slots.len())..]
-                .iter()
-                .filter(|s| s.zone == offer.zone)
-                .count();
-            let ours = offer.ours + new;
+            let ours = offer.ours + new[slot.zone];
             if best
                 .as_ref()
                 .is_none_or(|(c, o, _)| (cost, ours) < (*c, *o))
@@ -229,12 +282,20 @@
                 best = Some((cost, ours, slot));
             }
         }
-        best.map(|(_, _, slot)| slot)
+        best.map(|(_, _, slot)| slot.clone())
     }
 
     /// Plans as many of `n` tasks of a job as there are places for, one after
-    /// the other, each on the machine that is best for it then.
-    fn plan(&mut self, job: &Waiting, n: usize, zone: Option<&str>, free_now: bool) -> Tried {
+    /// the other, each on the machine that is best for it then. What is only
+    /// `trial` can be undone.
+    fn plan(
+        &mut self,
+        job: &Waiting,
+        n: usize,
+        zone: Option<usize>,
+        free_now: bool,
+        trial: bool,
+    ) -> Tried {
         let mut heap = self.candidates(job, zone, free_now);
         let mut job = job.clone();
         let mut tried = Tried {
@@ -247,14 +308,7 @@
             rented: 0.0,
         };
         while tried.chosen.len() < n {
-            // A zone that is closed to the job stays so: its tasks only grow.
-            while heap
-                .peek()
-                .is_some_and(|Reverse(c)| !job.places.allows(&job.spec, &self.slots[c.slot].zone))
-            {
-                heap.pop();
-            }
-            let best = heap.peek().map(|Reverse(c)| (c.slot, c.finish));
+            let best = self.first(&mut heap, &job, free_now);
             let startable = best.is_some_and(|(i, f)| f.start <= self.now && self.slots[i].up);
             let mut rented = None;
             if !startable && !free_now {
@@ -273,15 +327,16 @@
                     (self.slots.len() - 1, finish)
                 }
                 None => {
-                    let Some(Reverse(c)) = heap.pop() else { break };
-                    if c.slot < tried.undo.len {
-                        tried.undo.slots.push((c.slot, self.slots[c.slot].clone()));
+                    let Some((i, finish)) = best else { break };
+                    heap.pop();
+                    if trial && i < tried.undo.len {
+                        tried.undo.slots.push((i, self.slots[i].clone()));
                     }
-                    (c.slot, c.finish)
+                    (i, finish)
                 }
             };
             self.slots[i].place(&job, &finish);
-            job.places.add(&self.slots[i].zone);
+            job.places.add(&self.zones[self.slots[i].zone]);
             tried.last = tried.last.max(finish.runs);
             tried.chosen.push((i, finish));
             heap.extend(self.candidate(i, &job, free_now).map(Reverse));
@@ -303,7 +358,7 @@
             }
         }
         if !rest.indexes.is_empty() {
-            let tried = self.plan(&rest, rest.indexes.len(), None, true);
+            let tried = self.plan(&rest, rest.indexes.len(), None, true, false);
             let slots = tried.chosen.into_iter().map(|(slot, _)| slot);
             out.extend(rest.indexes.iter().copied().zip(slots));
         }
@@ -312,12 +367,17 @@
 
     /// Places a task on a machine named before, if it can start there now.
     fn hinted(&mut self, job: &Waiting, name: &Arc<str>) -> Option<usize> {
-        let i = self.slots.iter().position(|s| s.name == *name)?;
-        if !self.slots[i].allowed(&job.spec) || job.avoid.contains(name) {
+        // A block's machines come in the order of their names.
+        let found = self.slots.binary_search_by(|s| s.name.cmp(name));
+        let i = found.ok()?;
+        let slot = &self.slots[i];
+        let zone = job.spec.zone.as_ref();
+        let named = zone.is_none_or(|z| **z == *self.zones[slot.zone]);
+        if !named || !job.allows(slot) || job.avoid.contains(name) {
             return None;
         }
-        let c = self.candidate(i, job, true)?;
-        self.slots[i].place(job, &c.finish);
+        let finish = self.candidate(i, job, true)?.finish?;
+        self.slots[i].place(job, &finish);
         Some(i)
     }
 
@@ -354,7 +414,7 @@
     fn each(&mut self, job: &Waiting, out: &mut Decisions) -> Option<&'static str> {
         let team = self.teams.iter().find(|t| t.name == job.spec.team)?;
         let allowed = self.usage.room(team, job.amount, job.indexes.len());
-        let tried = self.plan(job, allowed, None, false);
+        let tried = self.plan(job, allowed, None, false, false);
         let mut why = None;
         let placed = tried.chosen.len();
         for (index, (i, finish)) in job.indexes.iter().zip(tried.chosen) {
@@ -385,16 +445,12 @@
             self.usage.add(&job.spec.team, job.amount);
         }
         // With one zone for all, each zone is tried; the earliest wins.
-        let mut zones: Vec<Option<Arc<str>>> = vec![None];
-        if job.spec.one_zone {
-            let slots = self.slots.iter().map(|s| &s.zone);
-            let mut names: Vec<_> = slots.chain(self.offers.iter().map(|o| &o.zone)).collect();
-            names.sort();
-            names.dedup();
-            zones = names.into_iter().cloned().map(Some).collect();
-        }
+        let zones: Vec<Option<usize>> = match job.spec.one_zone {
+            true => (0..self.zones.len()).map(Some).collect(),
+            false => vec![None],
+        };
         if let Some(zone) = self.earliest(job, &zones, true) {
-            let tried = self.plan(job, n, zone.as_deref(), true);
+            let tried = self.plan(job, n, zone, true, false);
             for (index, (slot, _)) in job.indexes.iter().zip(tried.chosen) {
                 self.place(job, *index, slot, out);
             }
@@ -404,7 +460,7 @@
         // do not take the places it waits for; it starts once all are free.
         match self.earliest(job, &zones, false) {
             Some(zone) => {
-                self.plan(job, n, zone.as_deref(), false);
+                self.plan(job, n, zone, false, false);
                 Some("it waits until all its tasks can start together")
             }
             None => Some("no machine has room, and none can be rented"),
@@ -415,16 +471,16 @@
     fn earliest(
         &mut self,
         job: &Waiting,
-        zones: &[Option<Arc<str>>],
+        zones: &[Option<usize>],
         free_now: bool,
-    ) -> Option<Option<Arc<str>>> {
-        let mut best: Option<(i64, f64, usize, Option<Arc<str>>)> = None;
-        for zone in zones {
+    ) -> Option<Option<usize>> {
+        let mut best: Option<(i64, f64, usize, Option<usize>)> = None;
+        for &zone in zones {
             // Of zones that are as good, the one with fewer machines: all gangs
             // in the first would use up what can be rented there.
-            let there = self.slots.iter().filter(|s| Some(&s.zone) == zone.as_ref());
+            let there = self.slots.iter().filter(|s| Some(s.zone) == zone);
             let there = there.count();
-            let tried = self.plan(job, job.indexes.len(), zone.as_deref(), free_now);
+            let tried = self.plan(job, job.indexes.len(), zone, free_now, true);
             let whole = tried.chosen.len() == job.indexes.len();
             let span = ((tried.last - self.now) / self.tie_s) as i64;
             let rented = tried.rented;
@@ -434,7 +490,7 @@
                     .as_ref()
                     .is_none_or(|(s, r, n, _)| (span, rented, there) < (*s, *r, *n))
             {
-                best = Some((span, rented, there, zone.clone()));
+                best = Some((span, rented, there, zone));
             }
         }
         best.map(|(_, _, _, zone)| zone)
@@ -477,7 +533,8 @@
                 Estimate {
                     run_s,
                     fetch_s: 8.0,
-                    boot_s: 30.0
+                    boot_s: 30.0,
+                    allowed: true,
                 };
                 2
             ],
@@ -486,6 +543,7 @@
             places: Places::default(),
             avoid: Vec::new(),
             bias: Vec::new(),
+            image: n % 3,
             spec,
         }
     }
@@ -499,14 +557,14 @@
         let mut slots = Vec::new();
         for i in 0..40 {
             let group = random(2) as usize;
-            let zone = if random(2) == 0 { "east" } else { "west" };
+            let zone = random(2) as usize;
             let ready = if random(4) == 0 { 110.0 } else { 100.0 };
             let name = format!("m-{i}");
             let mut slot = Slot::new(
                 name.as_str().into(),
                 group,
                 &types[group],
-                zone.into(),
+                zone,
                 random(2) == 0,
                 ready,
             );
@@ -520,7 +578,7 @@
                 slot.take(amount, ready, ready + 5.0 + random(60) as f64);
             }
             if random(2) == 0 {
-                slot.fetches("i-1", 100.0 + random(20) as f64);
+                slot.fetches(1, 100.0 + random(20) as f64);
             }
             slots.push(slot);
         }
@@ -528,12 +586,12 @@
             now: 100.0,
             clock: 100.0,
             rent_from: slots.len(),
+            zones: vec!["east".into(), "west".into()],
             slots,
             offers: Vec::new(),
             teams,
             usage: Usage::default(),
             tie_s: 3.0,
-            boot_factor: 1.1,
         }
     }
 
@@ -555,15 +613,24 @@
             let mut plain = round(&teams, &mut seed);
             for n in 0..6 {
                 let job = job(n, 1.0 + f64::from(n % 2), 20.0 + 9.0 * f64::from(n), n == 4);
-                let fast = ordered.plan(&job, 20, None, false).chosen;
+                let fast = ordered.plan(&job, 20, None, false, false).chosen;
                 let mut slow = Vec::new();
                 let mut one = job.clone();
                 for _ in 0..20 {
-                    let Some((i, finish)) = plain.best(&one, false) else {
+                    let all = 0..plain.slots.len();
+                    let open = |i: &usize| one.open(&plain.zones[plain.slots[*i].zone]);
+                    let all = all.filter(open).filter(|i| one.allows(&plain.slots[*i]));
+                    let all = all.filter_map(|i| plain.candidate(i, &one, false));
+                    let Some(Candidate {
+                        slot: i,
+                        finish: Some(finish),
+                        ..
+                    }) = all.min()
+                    else {
                         break;
                     };
                     plain.slots[i].place(&one, &finish);
-                    one.places.add(&plain.slots[i].zone);
+                    one.places.add(&plain.zones[plain.slots[i].zone]);
                     slow.push((i, finish));
                 }
                 assert_eq!(fast, slow, "trace {trace}, job {n}");
--- a/crates/plan/src/slot.rs
+++ b/crates/plan/src/slot.rs
@@ -3,7 +3,6 @@
 use crate::Amount;
 use crate::round::Waiting;
 use rushwalk_wire::cloud::MachineType;
-use rushwalk_wire::jobs::JobSpec;
 use std::sync::Arc;
 
 #[derive(Debug, Clone)]
@@ -11,8 +10,8 @@
     pub name: Arc<str>,
     /// Its type, by its place among the round's types: the paper's group.
     pub group: usize,
-    pub kind: Arc<str>,
-    pub zone: Arc<str>,
+    /// Its zone, by its place among the round's.
+    pub zone: usize,
     pub block: Arc<str>,
     pub spot: bool,
     /// When it can take tasks: in the past for a machine that is up.
@@ -24,7 +23,7 @@
     pub whole: Amount,
     /// Images it has or fetches, and from when on each is there. Treating one
     /// under way as there made tasks wait for machines that still booted.
-    pub images: Vec<(Arc<str>, f64)>,
+    pub images: Vec<(ImageId, f64)>,
     pub price: f64,
     /// Miss of the prediction for its latest finished task.
     pub pending_error: f64,
@@ -36,6 +35,9 @@
     free: Vec<(f64, Amount)>,
 }
 
+/// An image by its number: names are compared once, not for each machine.
+pub type ImageId = u32;
+
 /// When a task would start and finish on a machine.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Finish {
@@ -53,15 +55,14 @@
         name: Arc<str>,
         group: usize,
         kind: &MachineType,
-        zone: Arc<str>,
+        zone: usize,
         spot: bool,
         ready: f64,
     ) -> Slot {
         Slot {
+            block: name.clone(),
             name,
             group,
-            kind: kind.name.as_str().into(),
-            block: zone.clone(),
             zone,
             spot,
             ready,
@@ -109,6 +110,18 @@
         }
     }
 
+    /// A time before which `amount` is not free: cheaper than `earliest`.
+    fn not_before(&self, amount: &Amount, now: f64) -> Option<f64> {
+        // Steps that are past are few: a plan begins at the present.
+        let next = self.free.iter().position(|(from, _)| *from > now);
+        let at = next.unwrap_or(self.free.len()).saturating_sub(1);
+        let (from, free) = self.free.get(at)?;
+        match amount.fits(free) {
+            true => Some(from.max(now)),
+            false => self.free.get(at + 1).map(|(from, _)| *from),
+        }
+    }
+
     /// The earliest time from which `amount` is free for `seconds`.
     fn earliest(&self, amount: &Amount, now: f64, seconds: f64) -> Option<f64> {
         let mut start: Option<f64> = None;
@@ -137,19 +150,11 @@
         let times = job.estimates.get(self.group)?;
         let run = times.run_s * self.slow;
         let from = now.max(self.ready);
-        let there = self.image(&job.spec.image);
+        let there = self.image(job.image);
         let image = there.unwrap_or_else(|| self.fetched(times.fetch_s, from));
         let fetch = (image - from).max(0.0);
         let mut start = self.earliest(&job.amount, now, job.overhead_s + fetch + run)?;
-        if start > now && self.up {
-            // Only a machine with pending tasks has a pending error. A wait for
-            // others' ends is not known like a fetch: ends that come early help
-            // little, late ones add up. So it counts twice, up to what another
-            // machine would boot: a long queue is worked off meanwhile.
-            let wait = start - now;
-            let doubt = wait.min(DOUBT * times.boot_s);
-            start = now + (wait + doubt + self.pending_error).max(job.overhead_s);
-        }
+        start = self.doubted(start, now, times.boot_s, job.overhead_s);
         // An image is fetched from the task's start on, unless it is there or
         // under way for another.
         let runs = match there {
@@ -163,8 +168,39 @@
         })
     }
 
-    fn image(&self, image: &str) -> Option<f64> {
-        let there = self.images.iter().find(|(i, _)| **i == *image);
+    /// Only a machine with pending tasks has a pending error. A wait for others'
+    /// ends is not known like a fetch: ends that come early help little, late
+    /// ones add up. So it counts twice, up to what another machine would boot: a
+    /// long queue is worked off meanwhile.
+    fn doubted(&self, start: f64, now: f64, boot_s: f64, overhead_s: f64) -> f64 {
+        if start <= now || !self.up {
+            return start;
+        }
+        let wait = start - now;
+        let doubt = wait.min(DOUBT * boot_s);
+        now + (wait + doubt + self.pending_error).max(overhead_s)
+    }
+
+    /// Times that `finish` does not fall below: found from what is free now and
+    /// next, without looking for a gap that is long enough.
+    pub fn bound(&self, job: &Waiting, now: f64) -> Option<Finish> {
+        let times = job.estimates.get(self.group)?;
+        let run = times.run_s * self.slow;
+        let start = self.not_before(&job.amount, now)?;
+        let start = self.doubted(start, now, times.boot_s, job.overhead_s);
+        let runs = match self.image(job.image) {
+            Some(at) => (start + job.overhead_s).max(at),
+            None => start + job.overhead_s + times.fetch_s,
+        };
+        Some(Finish {
+            start,
+            runs,
+            finish: runs + run,
+        })
+    }
+
+    fn image(&self, image: ImageId) -> Option<f64> {
+        let there = self.images.iter().find(|(i, _)| *i == image);
         there.map(|(_, at)| *at)
     }
 
@@ -177,23 +213,13 @@
     /// Plans a task on this machine, with the fetch of its image.
     pub fn place(&mut self, job: &Waiting, finish: &Finish) {
         self.take(job.amount, finish.start, finish.finish);
-        self.fetches(&job.spec.image, finish.runs);
+        self.fetches(job.image, finish.runs);
     }
 
     /// An image is or will be there from a time on.
-    pub fn fetches(&mut self, image: &str, at: f64) {
+    pub fn fetches(&mut self, image: ImageId, at: f64) {
         if self.image(image).is_none() {
-            self.images.push((image.into(), at));
+            self.images.push((image, at));
         }
     }
-
-    pub fn allowed(&self, spec: &JobSpec) -> bool {
-        !self.closed
-            && (spec.spot || !self.spot)
-            && spec.zone.as_ref().is_none_or(|z| **z == *self.zone)
-            && spec
-                .types
-                .as_ref()
-                .is_none_or(|t| t.iter().any(|t| **t == *self.kind))
-    }
 }
--- a/crates/rushwalk/src/fleet.rs
+++ b/crates/rushwalk/src/fleet.rs
@@ -64,7 +64,7 @@
         ops.extend(overdue(&view, &mut memory, &mut round, &types, now));
         ops
     };
-    tell(&round);
+    tell(&round, &types);
     // The fleet is sized by what is expected in every third round only: a plan
     // of many jobs, most of which come out as they did a moment ago.
     let due = {
@@ -78,7 +78,7 @@
         due
     };
     if !due {
-        ops.extend(rent(&round, now));
+        ops.extend(rent(&round, &types, now));
         return ops;
     }
     let expected = {
@@ -134,7 +134,7 @@
         lock(&node.leading).late = late;
     }
     let _turn = node.meter.turn(Work::Size);
-    let rent = rent(&round, now);
+    let rent = rent(&round, &types, now);
     let view = node.view();
     let mut memory = lock(&node.leading);
     ops.extend(idle(&view, &mut memory, &round));
@@ -147,20 +147,21 @@
 }
 
 /// How the fleet is used, for whoever follows the log.
-fn tell(round: &Round) {
+fn tell(round: &Round, types: &Types) {
     if !tracing::enabled!(tracing::Level::DEBUG) {
         return;
     }
-    let mut groups: BTreeMap<(&Name, bool), (usize, usize, usize, f64)> = BTreeMap::new();
+    let mut groups: BTreeMap<(usize, bool), (usize, usize, usize, f64)> = BTreeMap::new();
     for slot in &round.slots {
-        let group = groups.entry((&slot.kind, slot.spot)).or_default();
+        let group = groups.entry((slot.group, slot.spot)).or_default();
         group.0 += 1;
         group.1 += usize::from(slot.up);
         group.2 += usize::from(slot.tasks == 0);
         group.3 += 1.0 - slot.free_at(round.now).least_share_of(&slot.whole);
     }
     for ((kind, spot), (all, up, idle, used)) in groups {
-        tracing::debug!(kind = &**kind, spot, all, up, idle, used, "fleet");
+        let kind = &types.types[kind].name;
+        tracing::debug!(kind, spot, all, up, idle, used, "fleet");
     }
 }
 
@@ -190,22 +191,23 @@
     now: u64,
 ) -> Round<'a> {
     let seconds = now as f64 / 1000.0;
+    let zones = slots::zones(types, &node.settings.site);
     let mut round = Round {
         now: seconds,
         clock: seconds,
         slots: Vec::with_capacity(view.machines.len() + 64),
-        offers: offers(view, memory, types),
+        offers: offers(view, memory, types, &zones, seconds),
+        zones,
         teams: &node.settings.site.teams,
         usage: Usage::default(),
         tie_s: node.times.tie.as_secs_f64(),
-        boot_factor: 1.1,
         rent_from: usize::MAX,
     };
     for (name, row) in &view.machines {
         if row.machine.stage == Stage::Use && row.machine.silent.is_none() {
             round
                 .slots
-                .extend(slots::slot(view, name, row, types, seconds));
+                .extend(slots::slot(view, name, row, types, &round.zones, seconds));
         }
     }
     for rental in view.rentals.values() {
@@ -213,18 +215,28 @@
             continue;
         };
         let kind = &types.types[group];
-        let zone: Name = rental.zone.as_str().into();
-        let ready = (rental.at as f64 / 1000.0 + 1.1 * kind.boot_s).max(seconds + 1.0);
-        for _ in 0..rental.count {
-            let slot = Slot::new("".into(), group, kind, zone.clone(), rental.spot, ready);
-            round.slots.push(slot);
-        }
+        let Some(zone) = round.zones.iter().position(|z| **z == *rental.zone) else {
+            continue;
+        };
+        let ready = (rental.at as f64 / 1000.0 + BOOT * kind.boot_s).max(seconds + 1.0);
+        let slot = Slot::new("".into(), group, kind, zone, rental.spot, ready);
+        let all = std::iter::repeat_n(slot, rental.count as usize);
+        round.slots.extend(all);
     }
     round.rent_from = round.slots.len();
     round
 }
 
-fn offers(view: &View, memory: &LeaderMemory, types: &Types) -> Vec<Offer> {
+/// Booting takes this many times the nominal boot time.
+const BOOT: f64 = 1.1;
+
+fn offers(
+    view: &View,
+    memory: &LeaderMemory,
+    types: &Types,
+    zones: &[Name],
+    seconds: f64,
+) -> Vec<Offer> {
     let now = Instant::now();
     // Machines of ours in each zone, and how many of them are silent.
     let mut ours: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
@@ -250,11 +262,12 @@
                 if refused.is_some_and(|(until, _)| now < *until) {
                     continue;
                 }
+                let Some(zone) = zones.iter().position(|z| **z == **zone) else {
+                    continue;
+                };
+                let ready = seconds + kind.boot_s * BOOT;
                 out.push(Offer {
-                    kind: kind.clone(),
-                    group,
-                    zone: zone.as_str().into(),
-                    spot,
+                    slot: Slot::new("".into(), group, kind, zone, spot, ready),
                     ours: all,
                 });
             }
@@ -647,11 +660,11 @@
 }
 
 /// Rents what the round found lacking.
-fn rent(round: &Round, now: u64) -> Vec<Op> {
-    let mut wanted: BTreeMap<(&Name, &Name, bool), u32> = BTreeMap::new();
+fn rent(round: &Round, types: &Types, now: u64) -> Vec<Op> {
+    let mut wanted: BTreeMap<(usize, usize, bool), u32> = BTreeMap::new();
     for slot in round.slots.iter().skip(round.rent_from) {
         *wanted
-            .entry((&slot.kind, &slot.zone, slot.spot))
+            .entry((slot.group, slot.zone, slot.spot))
             .or_default() += 1;
     }
     let mut ops = Vec::new();
@@ -660,8 +673,8 @@
             let some = count.min(MAX_RENT);
             count -= some;
             let rental = Rental {
-                kind: kind.to_string(),
-                zone: zone.to_string(),
+                kind: types.types[kind].name.clone(),
+                zone: round.zones[zone].to_string(),
                 spot,
                 count: some,
                 at: now,
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -258,18 +258,19 @@
     }
     let now = now_ms();
     let seconds = now as f64 / 1000.0;
+    let zones = slots::zones(&types, &node.settings.site);
     let mut placed: BTreeMap<(Name, u64), Vec<(u32, Name)>> = BTreeMap::new();
     for (block, mut tasks) in wanted {
         tasks.sort();
         let mut round = Round {
             now: seconds,
             clock: seconds,
+            zones: zones.clone(),
             slots: Vec::new(),
             offers: Vec::new(),
             teams: &node.settings.site.teams,
             usage: Usage::default(),
             tie_s: node.times.tie.as_secs_f64(),
-            boot_factor: 1.0,
             rent_from: usize::MAX,
         };
         for name in view.blocks.get(block).into_iter().flatten() {
@@ -280,7 +281,7 @@
             if m.stage == Stage::Use && m.up.is_some() && m.silent.is_none() {
                 round
                     .slots
-                    .extend(slots::slot(view, name, row, &types, seconds));
+                    .extend(slots::slot(view, name, row, &types, &zones, seconds));
             }
         }
         // A job's tasks in one go.
--- a/crates/rushwalk/src/slots.rs
+++ b/crates/rushwalk/src/slots.rs
@@ -7,19 +7,32 @@
 use rushwalk_plan::slot::Slot;
 use rushwalk_wire::jobs::JobSpec;
 use rushwalk_wire::records::{Phase, Types};
+use rushwalk_wire::settings::Site;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
+/// All zones, in their order.
+pub fn zones(types: &Types, site: &Site) -> Vec<Name> {
+    let all = types.types.iter().flat_map(|t| &t.zones).chain(&site.zones);
+    let all: BTreeSet<&String> = all.collect();
+    all.into_iter().map(|z| z.as_str().into()).collect()
+}
+
 /// A job without tasks, with what it takes on machines of each type.
 pub fn waiting(view: &View, spec: &Arc<JobSpec>, types: &Types) -> Waiting {
     let averages = &view.averages;
+    let amount = Amount::of_task(spec);
     let estimates = types.types.iter().map(|t| Estimate {
         run_s: averages.run_time(spec, &t.name),
         fetch_s: averages.fetch_time(spec.image_gb, &t.name, t.fetch_gb_per_s),
         boot_s: t.boot_s,
+        allowed: spec.types.as_ref().is_none_or(|n| n.contains(&t.name))
+            && amount.fits(&Amount::of_type(t)),
     });
     Waiting {
         spec: spec.clone(),
-        amount: Amount::of_task(spec),
+        amount,
+        image: view.image(&spec.image),
         estimates: estimates.collect(),
         overhead_s: averages.overhead(),
         indexes: Vec::new(),
@@ -30,8 +43,16 @@
 }
 
 /// A machine that is up, or boots, with the tasks that it has.
-pub fn slot(view: &View, name: &Name, row: &MachineRow, types: &Types, now: f64) -> Option<Slot> {
+pub fn slot(
+    view: &View,
+    name: &Name,
+    row: &MachineRow,
+    types: &Types,
+    zones: &[Name],
+    now: f64,
+) -> Option<Slot> {
     let machine = &row.machine;
+    let zone = zones.iter().position(|z| *z == machine.zone)?;
     let mut groups = types.types.iter();
     let group = groups.position(|t| *t.name == *machine.kind)?;
     let kind = &types.types[group];
@@ -42,16 +63,10 @@
             nominal.max(now + 0.2 * kind.boot_s)
         }
     };
-    let zone = machine.zone.clone();
     let mut slot = Slot::new(name.clone(), group, kind, zone, machine.spot, ready);
-    slot.kind = machine.kind.clone();
     slot.block = machine.block.clone();
     slot.up = machine.up.is_some();
-    slot.images = machine
-        .images
-        .iter()
-        .map(|(i, _)| (i.clone(), 0.0))
-        .collect();
+    slot.images = row.images.iter().map(|i| (*i, 0.0)).collect();
     for (uid, index) in &row.tasks {
         let Some((job, task)) = view.task(uid, *index) else {
             continue;
@@ -63,7 +78,7 @@
             let averages = &view.averages;
             let fetch = averages.fetch_time(spec.image_gb, &kind.name, kind.fetch_gb_per_s);
             let at = task.task.at as f64 / 1000.0 + averages.overhead() + fetch;
-            slot.fetches(&spec.image, at.max(now));
+            slot.fetches(view.image(&spec.image), at.max(now));
         }
     }
     slot.slow = row.slow();
--- a/crates/rushwalk/src/view.rs
+++ b/crates/rushwalk/src/view.rs
@@ -7,6 +7,7 @@
 //! harmless. Who commits must look here for what became of it.
 
 use rushwalk_plan::predict::{Averages, Rolling};
+use rushwalk_plan::slot::ImageId;
 use rushwalk_wire::jobs::{JobSpec, JobState, Priority, Shape, Stance};
 use rushwalk_wire::records::{
     self as rec, Base, Bits, Entry, How, Machine, Op, Phase, Rental, Stage, StopWhy, Task, Trouble,
@@ -46,12 +47,15 @@
     ratios: Rolling,
     /// Jobs that failed on it lately, each once.
     pub failed: BTreeSet<Name>,
+    /// The images of its record, by their numbers.
+    pub images: Vec<ImageId>,
 }
 
 impl MachineRow {
     fn new(machine: Machine) -> MachineRow {
         MachineRow {
             machine,
+            images: Vec::new(),
             tasks: BTreeSet::new(),
             miss_s: 0.0,
             ratios: Rolling::default(),
@@ -109,6 +113,8 @@
     pub dirty: BTreeSet<Name>,
     /// Latest arrivals per class (time of day in ms), in their order.
     pub arrivals: HashMap<String, VecDeque<(u64, Arc<JobSpec>)>>,
+    /// Numbers of images. They are this process's own.
+    images: HashMap<Name, ImageId>,
 }
 
 /// Arrivals kept per class.
@@ -120,6 +126,16 @@
     serde_json::from_str(value.get()).ok()
 }
 
+/// The number of an image, a new one if it has none.
+fn number(images: &mut HashMap<Name, ImageId>, name: &str) -> ImageId {
+    if let Some(known) = images.get(name) {
+        return *known;
+    }
+    let next = images.len() as ImageId;
+    images.insert(name.into(), next);
+    next
+}
+
 impl View {
     pub fn new(averages: Averages) -> Self {
         View {
@@ -145,9 +161,15 @@
             unplaced: BTreeSet::new(),
             dirty: BTreeSet::new(),
             arrivals: HashMap::new(),
+            images: HashMap::new(),
         }
     }
 
+    /// An image's number; jobs' and machines' images all have one.
+    pub fn image(&self, name: &str) -> ImageId {
+        self.images.get(name).copied().unwrap_or(ImageId::MAX)
+    }
+
     /// Version of a key that is not in the log.
     pub fn version(&self, key: &str) -> u64 {
         self.versions.get(key).copied().unwrap_or(0)
@@ -437,6 +459,7 @@
             }
         }
         self.active.insert((spec.priority, at, uid.clone()));
+        number(&mut self.images, &spec.image);
         let row = JobRow {
             spec,
             phase: Phase::Active,
@@ -653,6 +676,8 @@
             while images.len() > 1 && images.iter().map(|i| i.1).sum::<f64>() > cache {
                 images.remove(0);
             }
+            let ids = images.iter().map(|(i, _)| number(&mut self.images, i));
+            there.images = ids.collect();
         }
     }
 
@@ -744,7 +769,10 @@
         }
         let block = self.blocks.entry(machine.block.clone()).or_default();
         block.insert(name.clone());
-        self.machines.insert(name, MachineRow::new(machine));
+        let mut row = MachineRow::new(machine);
+        let ids = row.machine.images.iter();
+        row.images = ids.map(|(i, _)| number(&mut self.images, i)).collect();
+        self.machines.insert(name, row);
     }
 
     fn deleted(&mut self, name: &Name) {
