Holders look at what changed; machines glanced at by class; silence counted by block

Cause: every round the holder looked at each of its machines twice, lending walked all machines four times a round, and a bound cost a walk through scattered memory. Now a holder looks at machines that changed or whose report is missing, a block's silent machines are counted as records change, and bounds are found in a table by class of machine. Averages keep their mean.

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod quota;
 pub mod round;
 pub mod slot;
+pub mod slots;
 pub mod urgency;
 
 pub use amount::Amount;
--- a/crates/plan/src/predict.rs
+++ b/crates/plan/src/predict.rs
@@ -7,6 +7,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Rolling {
     samples: VecDeque<f64>,
+    /// Asked for far more often than a sample comes.
+    mean: Option<f64>,
 }
 
 impl Rolling {
@@ -15,11 +17,12 @@
         while self.samples.len() > window.max(1) {
             self.samples.pop_front();
         }
+        let n = self.samples.len() as f64;
+        self.mean = Some(self.samples.iter().sum::<f64>() / n);
     }
 
     pub fn mean(&self) -> Option<f64> {
-        let n = self.samples.len();
-        (n > 0).then(|| self.samples.iter().sum::<f64>() / n as f64)
+        self.mean
     }
 }
 
--- a/crates/plan/src/round.rs
+++ b/crates/plan/src/round.rs
@@ -8,11 +8,11 @@
 use crate::Amount;
 use crate::quota::{Places, Usage};
 use crate::slot::{Finish, ImageId, Slot};
+use crate::slots::Slots;
 use rushwalk_wire::jobs::{JobSpec, Shape};
 use rushwalk_wire::settings::Team;
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
-use std::collections::binary_heap::PeekMut;
 use std::sync::Arc;
 
 /// What a task takes on machines of one group.
@@ -84,7 +84,7 @@
     /// The time at which a machine rented now begins to boot.
     pub clock: f64,
     pub zones: Vec<Arc<str>>,
-    pub slots: Vec<Slot>,
+    pub slots: Slots,
     pub offers: Vec<Offer>,
     pub teams: &'a [Team],
     pub usage: Usage,
@@ -102,13 +102,50 @@
     pub waits: Vec<(String, &'static str)>,
 }
 
-/// A machine that could take the next task of a job. It comes in by a bound, with
-/// the least rank there is; only when nothing comes before that is it looked at.
+/// A machine that could take the next task of a job.
 struct Candidate {
     span: i64,
     rank: f64,
     slot: usize,
-    finish: Option<Finish>,
+    finish: Finish,
+}
+
+/// A job's machines: by bounds on their spans, and those that were worked out,
+/// since none could come before them.
+struct Order {
+    /// Bounds above `span`, in no order: few of them are ever asked for.
+    bounds: Vec<(i32, u32)>,
+    /// Machines whose bound is `span`, the least.
+    span: i32,
+    next: Vec<u32>,
+    exact: BinaryHeap<Reverse<Candidate>>,
+}
+
+impl Order {
+    fn new(bounds: Vec<(i32, u32)>) -> Order {
+        Order {
+            bounds,
+            span: i32::MIN,
+            next: Vec::new(),
+            exact: BinaryHeap::new(),
+        }
+    }
+
+    /// A machine of the least bound that was not worked out as yet.
+    fn least(&mut self) -> Option<(i32, usize)> {
+        if self.next.is_empty() {
+            self.span = self.bounds.iter().map(|b| b.0).min()?;
+            let span = self.span;
+            let next = &mut self.next;
+            self.bounds.retain(|(at, slot)| {
+                if *at == span {
+                    next.push(*slot);
+                }
+                *at != span
+            });
+        }
+        self.next.last().map(|slot| (self.span, *slot as usize))
+    }
 }
 
 impl PartialEq for Candidate {
@@ -153,7 +190,7 @@
         if free_now && (finish.start > self.now || !slot.up) {
             return None;
         }
-        let score = self.score(slot, &job.spec, &finish) - self.now;
+        let score = self.score(slot.spot, slot.tasks == 0, &job.spec, &finish) - self.now;
         let room = slot
             .free_at(finish.start.max(self.now))
             .share_of(&slot.whole);
@@ -162,79 +199,58 @@
             span: (score / self.tie_s) as i64,
             rank: slot.price / fit * (0.5 + room) * job.bias(slot.group, slot.spot),
             slot: i,
-            finish: Some(finish),
+            finish,
         })
     }
 
-    fn candidates(
-        &self,
-        job: &Waiting,
-        zone: Option<usize>,
-        free_now: bool,
-    ) -> BinaryHeap<Reverse<Candidate>> {
-        let open: Vec<bool> = self.zones.iter().map(|z| job.open(z)).collect();
-        let fits = |slot: &Slot| {
-            zone.is_none_or(|z| z == slot.zone)
-                && job.allows(slot)
-                && open.get(slot.zone) == Some(&true)
-                && !job.avoid.contains(&slot.name)
-        };
-        let mut all = Vec::new();
-        for (i, slot) in self.slots.iter().enumerate() {
-            if (free_now && !slot.up) || !fits(slot) {
-                continue;
-            }
-            let Some(bound) = slot.bound(job, self.now) else {
-                continue;
-            };
-            if free_now && bound.start > self.now {
-                continue;
-            }
-            let score = self.score(slot, &job.spec, &bound) - self.now;
-            all.push(Reverse(Candidate {
-                span: (score / self.tie_s) as i64,
-                rank: f64::NEG_INFINITY,
-                slot: i,
-                finish: None,
-            }));
-        }
-        BinaryHeap::from(all)
+    fn candidates(&self, job: &Waiting, zone: Option<usize>, free_now: bool) -> Order {
+        let here = |z: usize| zone.is_none_or(|zone| zone == z);
+        let zones = self.zones.iter().enumerate();
+        let open: Vec<bool> = zones.map(|(i, z)| here(i) && job.open(z)).collect();
+        let mut bounds = Vec::new();
+        self.slots.bounds(job, &open, self.now, free_now, |bound| {
+            let score = self.score(bound.spot, bound.empty, &job.spec, &bound.finish);
+            let span = ((score - self.now) / self.tie_s) as i32;
+            bounds.push((span, bound.slot as u32));
+        });
+        Order::new(bounds)
     }
 
     /// The best machine, left in its place, once no other can be better.
-    fn first(
-        &self,
-        heap: &mut BinaryHeap<Reverse<Candidate>>,
-        job: &Waiting,
-        free_now: bool,
-    ) -> Option<(usize, Finish)> {
+    fn first(&self, order: &mut Order, job: &Waiting, free_now: bool) -> Option<(usize, Finish)> {
+        let open = |i: usize| job.open(&self.zones[self.slots[i].zone]);
         loop {
-            let mut top = heap.peek_mut()?;
             // A zone that is closed to the job stays so: its tasks only grow.
-            if !job.open(&self.zones[self.slots[top.0.slot].zone]) {
-                PeekMut::pop(top);
-                continue;
-            }
-            if let Some(finish) = top.0.finish {
-                return Some((top.0.slot, finish));
+            while (order.exact.peek()).is_some_and(|Reverse(c)| !open(c.slot)) {
+                order.exact.pop();
             }
-            match self.candidate(top.0.slot, job, free_now) {
-                Some(exact) => *top = Reverse(exact),
-                None => {
-                    PeekMut::pop(top);
+            let next = order.least();
+            let best = order.exact.peek().map(|Reverse(c)| c);
+            match (best, next) {
+                (Some(best), None) => return Some((best.slot, best.finish)),
+                (Some(best), Some((span, _))) if best.span < i64::from(span) => {
+                    return Some((best.slot, best.finish));
+                }
+                (_, Some((_, slot))) => {
+                    order.next.pop();
+                    if open(slot) {
+                        let exact = self.candidate(slot, job, free_now);
+                        order.exact.extend(exact.map(Reverse));
+                    }
                 }
+                (None, None) => return None,
             }
         }
     }
 
     /// Index and finish of the best machine for one task.
     pub fn best(&self, job: &Waiting, free_now: bool) -> Option<(usize, Finish)> {
-        let mut all = self.candidates(job, None, free_now);
-        self.first(&mut all, job, free_now)
+        let mut order = self.candidates(job, None, free_now);
+        self.first(&mut order, job, free_now)
     }
 
     /// What decides between machines, in seconds; the least is best.
-    fn score(&self, slot: &Slot, spec: &JobSpec, finish: &Finish) -> f64 {
+    fn score(&self, spot: bool, empty: bool, spec: &JobSpec, finish: &Finish) -> f64 {
         // A service never finishes: the time at which it runs decides.
         let score = match finish.finish.is_finite() {
             true => finish.finish,
@@ -243,7 +259,7 @@
         // Exception to the smallest finish: waking an idle ordinary machine
         // for work that a spot machine may do costs as if it had to boot, so
         // that warm machines stay free for what needs them.
-        match spec.spot && !slot.spot && slot.tasks == 0 {
+        match spec.spot && !spot && empty {
             true => score + self.tie_s * 8.0,
             false => score,
         }
@@ -269,7 +285,7 @@
             // By the same measure as machines that are there: with another
             // one, a rental decided now would be found wanting in the next
             // round, and each round would rent more.
-            if self.score(slot, spec, &finish) + self.tie_s >= otherwise {
+            if self.score(slot.spot, true, spec, &finish) + self.tie_s >= otherwise {
                 continue;
             }
             let fit = job.amount.times_in(&slot.whole, u32::MAX).max(1);
@@ -296,7 +312,7 @@
         free_now: bool,
         trial: bool,
     ) -> Tried {
-        let mut heap = self.candidates(job, zone, free_now);
+        let mut order = self.candidates(job, zone, free_now);
         let mut job = job.clone();
         let mut tried = Tried {
             chosen: Vec::with_capacity(n),
@@ -308,12 +324,13 @@
             rented: 0.0,
         };
         while tried.chosen.len() < n {
-            let best = self.first(&mut heap, &job, free_now);
+            let best = self.first(&mut order, &job, free_now);
             let startable = best.is_some_and(|(i, f)| f.start <= self.now && self.slots[i].up);
             let mut rented = None;
             if !startable && !free_now {
                 let otherwise = best.map_or(f64::INFINITY, |(i, f)| {
-                    self.score(&self.slots[i], &job.spec, &f)
+                    let slot = &self.slots[i];
+                    self.score(slot.spot, slot.tasks == 0, &job.spec, &f)
                 });
                 rented = self.offer(&job, zone, otherwise);
             }
@@ -328,18 +345,19 @@
                 }
                 None => {
                     let Some((i, finish)) = best else { break };
-                    heap.pop();
+                    order.exact.pop();
                     if trial && i < tried.undo.len {
                         tried.undo.slots.push((i, self.slots[i].clone()));
                     }
                     (i, finish)
                 }
             };
-            self.slots[i].place(&job, &finish);
+            self.slots.place(i, &job, &finish);
             job.places.add(&self.zones[self.slots[i].zone]);
             tried.last = tried.last.max(finish.runs);
             tried.chosen.push((i, finish));
-            heap.extend(self.candidate(i, &job, free_now).map(Reverse));
+            let again = self.candidate(i, &job, free_now);
+            order.exact.extend(again.map(Reverse));
         }
         tried
     }
@@ -376,14 +394,14 @@
         if !named || !job.allows(slot) || job.avoid.contains(name) {
             return None;
         }
-        let finish = self.candidate(i, job, true)?.finish?;
-        self.slots[i].place(job, &finish);
+        let finish = self.candidate(i, job, true)?.finish;
+        self.slots.place(i, job, &finish);
         Some(i)
     }
 
     fn undo(&mut self, undo: Undo) {
         for (i, slot) in undo.slots.into_iter().rev() {
-            self.slots[i] = slot;
+            self.slots.put(i, slot);
         }
         self.slots.truncate(undo.len);
     }
@@ -554,7 +572,7 @@
             (*seed >> 33) % n
         };
         let types = types();
-        let mut slots = Vec::new();
+        let mut slots = Slots::new(100.0, 40);
         for i in 0..40 {
             let group = random(2) as usize;
             let zone = random(2) as usize;
@@ -623,13 +641,13 @@
                     let all = all.filter_map(|i| plain.candidate(i, &one, false));
                     let Some(Candidate {
                         slot: i,
-                        finish: Some(finish),
+                        finish,
                         ..
                     }) = all.min()
                     else {
                         break;
                     };
-                    plain.slots[i].place(&one, &finish);
+                    plain.slots.place(i, &one, &finish);
                     one.places.add(&plain.zones[plain.slots[i].zone]);
                     slow.push((i, finish));
                 }
--- a/crates/plan/src/slot.rs
+++ b/crates/plan/src/slot.rs
@@ -1,7 +1,7 @@
 //! A machine as the planner sees it: what is free on it from when on.
 
 use crate::Amount;
-use crate::round::Waiting;
+use crate::round::{Estimate, Waiting};
 use rushwalk_wire::cloud::MachineType;
 use std::sync::Arc;
 
@@ -50,6 +50,26 @@
 /// By how much of a boot a predicted wait for other tasks' ends may count more.
 const DOUBT: f64 = 1.0;
 
+/// When a task is taken to start on a machine that is up and would be free for it
+/// at `start`. Only a machine with pending tasks has a pending error. A wait for
+/// others' ends is not known like a fetch: ends that come early help little, late
+/// ones add up. So it counts twice, up to what another machine would boot: a long
+/// queue is worked off meanwhile.
+pub fn doubted(
+    start: f64,
+    now: f64,
+    pending_error: f64,
+    times: &Estimate,
+    job: &Waiting,
+) -> f64 {
+    if start <= now {
+        return start;
+    }
+    let wait = start - now;
+    let doubt = wait.min(DOUBT * times.boot_s);
+    now + (wait + doubt + pending_error).max(job.overhead_s)
+}
+
 impl Slot {
     pub fn new(
         name: Arc<str>,
@@ -111,17 +131,25 @@
     }
 
     /// A time before which `amount` is not free: cheaper than `earliest`.
-    fn not_before(&self, amount: &Amount, now: f64) -> Option<f64> {
+    pub fn not_before(&self, amount: &Amount, now: f64) -> Option<f64> {
         // Steps that are past are few: a plan begins at the present.
-        let next = self.free.iter().position(|(from, _)| *from > now);
-        let at = next.unwrap_or(self.free.len()).saturating_sub(1);
-        let (from, free) = self.free.get(at)?;
-        match amount.fits(free) {
+        let (from, free, next) = self.step(now);
+        match amount.fits(&free) {
             true => Some(from.max(now)),
-            false => self.free.get(at + 1).map(|(from, _)| *from),
+            false => next.is_finite().then_some(next),
         }
     }
 
+    /// What is free at a time, or as soon as it is ready: since when, and until
+    /// when.
+    pub fn step(&self, time: f64) -> (f64, Amount, f64) {
+        let after = self.free.iter().position(|(from, _)| *from > time);
+        let at = after.unwrap_or(self.free.len()).saturating_sub(1);
+        let next = self.free.get(at + 1).map_or(f64::INFINITY, |s| s.0);
+        let (from, free) = self.free[at];
+        (from, free, next)
+    }
+
     /// The earliest time from which `amount` is free for `seconds`.
     fn earliest(&self, amount: &Amount, now: f64, seconds: f64) -> Option<f64> {
         let mut start: Option<f64> = None;
@@ -154,7 +182,9 @@
         let image = there.unwrap_or_else(|| self.fetched(times.fetch_s, from));
         let fetch = (image - from).max(0.0);
         let mut start = self.earliest(&job.amount, now, job.overhead_s + fetch + run)?;
-        start = self.doubted(start, now, times.boot_s, job.overhead_s);
+        if self.up {
+            start = doubted(start, now, self.pending_error, times, job);
+        }
         // An image is fetched from the task's start on, unless it is there or
         // under way for another.
         let runs = match there {
@@ -168,37 +198,6 @@
         })
     }
 
-    /// Only a machine with pending tasks has a pending error. A wait for others'
-    /// ends is not known like a fetch: ends that come early help little, late
-    /// ones add up. So it counts twice, up to what another machine would boot: a
-    /// long queue is worked off meanwhile.
-    fn doubted(&self, start: f64, now: f64, boot_s: f64, overhead_s: f64) -> f64 {
-        if start <= now || !self.up {
-            return start;
-        }
-        let wait = start - now;
-        let doubt = wait.min(DOUBT * boot_s);
-        now + (wait + doubt + self.pending_error).max(overhead_s)
-    }
-
-    /// Times that `finish` does not fall below: found from what is free now and
-    /// next, without looking for a gap that is long enough.
-    pub fn bound(&self, job: &Waiting, now: f64) -> Option<Finish> {
-        let times = job.estimates.get(self.group)?;
-        let run = times.run_s * self.slow;
-        let start = self.not_before(&job.amount, now)?;
-        let start = self.doubted(start, now, times.boot_s, job.overhead_s);
-        let runs = match self.image(job.image) {
-            Some(at) => (start + job.overhead_s).max(at),
-            None => start + job.overhead_s + times.fetch_s,
-        };
-        Some(Finish {
-            start,
-            runs,
-            finish: runs + run,
-        })
-    }
-
     fn image(&self, image: ImageId) -> Option<f64> {
         let there = self.images.iter().find(|(i, _)| *i == image);
         there.map(|(_, at)| *at)
--- a/crates/rushwalk/src/fleet.rs
+++ b/crates/rushwalk/src/fleet.rs
@@ -11,6 +11,7 @@
 use rushwalk_plan::quota::Usage;
 use rushwalk_plan::round::{Decisions, Offer, Round, Waiting};
 use rushwalk_plan::slot::Slot;
+use rushwalk_plan::slots::Slots;
 use rushwalk_plan::urgency::{Needs, start_by};
 use rushwalk_wire::cloud::MAX_RENT;
 use rushwalk_wire::jobs::{Priority, Shape};
@@ -126,7 +127,7 @@
         if again {
             // Not without them: planned once more, with all.
             round.slots = before;
-            round.slots.iter_mut().for_each(|s| s.closed = false);
+            (0..round.slots.len()).for_each(|i| round.slots.close(i, false));
             closed.clear();
             lock(&node.leading).late = expect(node, &mut round, &expected).await;
         }
@@ -152,7 +153,7 @@
         return;
     }
     let mut groups: BTreeMap<(usize, bool), (usize, usize, usize, f64)> = BTreeMap::new();
-    for slot in &round.slots {
+    for slot in round.slots.iter() {
         let group = groups.entry((slot.group, slot.spot)).or_default();
         group.0 += 1;
         group.1 += usize::from(slot.up);
@@ -195,7 +196,7 @@
     let mut round = Round {
         now: seconds,
         clock: seconds,
-        slots: Vec::with_capacity(view.machines.len() + 64),
+        slots: Slots::new(seconds, view.machines.len() + 64),
         offers: offers(view, memory, types, &zones, seconds),
         zones,
         teams: &node.settings.site.teams,
@@ -205,9 +206,8 @@
     };
     for (name, row) in &view.machines {
         if row.machine.stage == Stage::Use && row.machine.silent.is_none() {
-            round
-                .slots
-                .extend(slots::slot(view, name, row, types, &round.zones, seconds));
+            let slot = slots::slot(view, name, row, types, &round.zones, seconds);
+            slot.into_iter().for_each(|slot| round.slots.push(slot));
         }
     }
     for rental in view.rentals.values() {
@@ -221,7 +221,7 @@
         let ready = (rental.at as f64 / 1000.0 + BOOT * kind.boot_s).max(seconds + 1.0);
         let slot = Slot::new("".into(), group, kind, zone, rental.spot, ready);
         let all = std::iter::repeat_n(slot, rental.count as usize);
-        round.slots.extend(all);
+        all.for_each(|slot| round.slots.push(slot));
     }
     round.rent_from = round.slots.len();
     round
@@ -240,10 +240,10 @@
     let now = Instant::now();
     // Machines of ours in each zone, and how many of them are silent.
     let mut ours: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
-    for row in view.machines.values() {
-        let there = ours.entry(&row.machine.zone).or_default();
-        there.0 += 1;
-        there.1 += usize::from(row.machine.silent.is_some());
+    for (block, machines) in &view.blocks {
+        let there = ours.entry(zone_of(block)).or_default();
+        there.0 += machines.len();
+        there.1 += view.pulse(block).1;
     }
     let mut out = Vec::new();
     for (group, kind) in types.types.iter().enumerate() {
@@ -377,10 +377,10 @@
         let at = round
             .slots
             .partition_point(|s| !s.name.is_empty() && s.name < *hint);
-        if let Some(slot) = round.slots.get_mut(at).filter(|s| s.name == *hint)
+        if let Some(slot) = round.slots.get(at).filter(|s| s.name == *hint)
             && let Some(finish) = slot.finish(waiting, round.now)
         {
-            slot.place(waiting, &finish);
+            round.slots.place(at, waiting, &finish);
         }
     }
 }
@@ -552,7 +552,7 @@
             let Some((i, finish)) = round.best(&probe, true) else {
                 continue;
             };
-            round.slots[i].place(&probe, &finish);
+            round.slots.place(i, &probe, &finish);
             memory.restarted.insert(name);
             tracing::info!(
                 job = &**uid,
@@ -787,21 +787,21 @@
                 return false;
             };
             let warm = finish.runs <= round.now + job.overhead_s + 0.1;
-            let slot = &mut round.slots[to];
-            before.push((to, slot.clone()));
+            let slot = &round.slots[to];
             let used = slot.tasks > 0;
-            slot.place(job, &finish);
+            before.push((to, slot.clone()));
+            round.slots.place(to, job, &finish);
             used && warm
         });
         if fits {
-            round.slots[i].closed = true;
+            round.slots.close(i, true);
             if !services.is_empty() {
                 memory.gathered = Some(Instant::now());
             }
             closed.push(name);
         } else {
             for (to, slot) in before.into_iter().rev() {
-                round.slots[to] = slot;
+                round.slots.put(to, slot);
             }
         }
     }
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -10,6 +10,7 @@
 use rushwalk_clients::state::Outcome;
 use rushwalk_plan::quota::Usage;
 use rushwalk_plan::round::Round;
+use rushwalk_plan::slots::Slots;
 use rushwalk_wire::jobs::Shape;
 use rushwalk_wire::records::{self as rec, How, Op, Phase, Stage};
 use rushwalk_wire::state::Transaction;
@@ -24,6 +25,7 @@
 pub async fn holder_loop(node: Arc<Node>) {
     let tick = node.times.round / 3;
     let mut looked: Option<Instant> = None;
+    let mut known: BTreeMap<Name, u64> = BTreeMap::new();
     let mut dirty: BTreeSet<Name> = BTreeSet::new();
     loop {
         sleep(tick).await;
@@ -31,7 +33,9 @@
             looked = None;
             continue;
         }
-        // What changed is looked at in each tick, everything once a round.
+        // What changed is looked at in each tick; once a round also what time
+        // alone changes: machines that were not heard of lately, or that have
+        // come under another token.
         let all = looked.is_none_or(|at| at.elapsed() >= node.times.round);
         if all {
             looked = Some(Instant::now());
@@ -43,11 +47,21 @@
             dirty.append(&mut view.dirty);
             dirty.append(&mut rigs.dirty);
             let held = held(&node, &view);
-            if all {
-                rigs.all.retain(|name, _| view.machines.contains_key(name));
-                dirty.clear();
-                let blocks = held.keys().filter_map(|b| view.blocks.get(b));
-                dirty.extend(blocks.flatten().cloned());
+            if all || known != held {
+                if rigs.all.len() > view.machines.len() {
+                    rigs.all.retain(|name, _| view.machines.contains_key(name));
+                }
+                for (block, token) in &held {
+                    let machines = view.blocks.get(block).into_iter().flatten();
+                    let due = machines.filter(|name| {
+                        let rig = rigs.all.get(*name);
+                        rig.is_none_or(|rig| {
+                            rig.overdue(&node.times) || rig.since.is_none_or(|s| s.0 != *token)
+                        })
+                    });
+                    dirty.extend(due.cloned());
+                }
+                known.clone_from(&held);
             }
             let mut ops = outcomes(&node, &view, &mut rigs, &held, &dirty);
             ops.extend(placements(&node, &view, &held));
@@ -69,7 +83,7 @@
         }
         let _turn = node.meter.turn(Work::Hold);
         dirty.append(&mut node.view().dirty);
-        send(&node, &std::mem::take(&mut dirty));
+        dirty = send(&node, &std::mem::take(&mut dirty));
     }
 }
 
@@ -266,7 +280,7 @@
             now: seconds,
             clock: seconds,
             zones: zones.clone(),
-            slots: Vec::new(),
+            slots: Slots::new(seconds, view.blocks.get(block).map_or(0, BTreeSet::len)),
             offers: Vec::new(),
             teams: &node.settings.site.teams,
             usage: Usage::default(),
@@ -279,9 +293,8 @@
             };
             let m = &row.machine;
             if m.stage == Stage::Use && m.up.is_some() && m.silent.is_none() {
-                round
-                    .slots
-                    .extend(slots::slot(view, name, row, &types, &zones, seconds));
+                let slot = slots::slot(view, name, row, &types, &zones, seconds);
+                slot.into_iter().for_each(|slot| round.slots.push(slot));
             }
         }
         // A job's tasks in one go.
@@ -316,8 +329,10 @@
     ops
 }
 
-/// Sends what can't wait for the next report to the workers' own addresses.
-fn send(node: &Arc<Node>, machines: &BTreeSet<Name>) {
+/// Sends what can't wait for the next report to the workers' own addresses;
+/// those to whom it is too early to send again are to be looked at again.
+fn send(node: &Arc<Node>, machines: &BTreeSet<Name>) -> BTreeSet<Name> {
+    let mut again = BTreeSet::new();
     let view = node.view();
     let mut rigs = lock(&node.rigs);
     let held = held(node, &view);
@@ -343,9 +358,7 @@
             true => row.machine.address.to_string(),
             false => rig.address.clone(),
         };
-        // A report may be late by a quarter, and is repeated after a while.
-        let quiet = rig.heard.is_none_or(|at| at.elapsed() > report * 13 / 10);
-        if quiet {
+        if rig.overdue(&node.times) {
             // Not heard of: it may report to an earlier holder, or be cut off.
             let pause = match rig.heard {
                 None => report / 2,
@@ -365,6 +378,9 @@
             .iter()
             .any(|c| !matches!(c, Command::Forget { .. }));
         let due = rig.sent_at.is_none_or(|at| at.elapsed() > node.times.round);
+        if urgent && !due {
+            again.insert(name.clone());
+        }
         if urgent && due && rig.session > 0 {
             rig.sent_at = Some(Instant::now());
             rig.inflight = true;
@@ -376,6 +392,7 @@
             tokio::spawn(direct(node.clone(), name.clone(), address, commands));
         }
     }
+    again
 }
 
 async fn direct(node: Arc<Node>, name: Name, address: String, commands: DirectCommands) {
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -9,7 +9,7 @@
 use crate::view::{JobRow, Name, TaskRow, View};
 use rushwalk_clients::state::Outcome;
 use rushwalk_wire::jobs::Shape;
-use rushwalk_wire::records::{self as rec, LEADER, Op, Phase, Stage, StopWhy};
+use rushwalk_wire::records::{self as rec, LEADER, Machine, Op, Phase, Stage, StopWhy};
 use rushwalk_wire::state::Transaction;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -271,7 +271,7 @@
         if row.machine.stage == Stage::Delete {
             continue;
         }
-        if let Some(why) = give_up(node, &view, name, now) {
+        if let Some(why) = give_up(node, &view, &row.machine, now) {
             tracing::info!(machine = &**name, why, "machine given up");
             given_up.push(name.clone());
             continue;
@@ -326,9 +326,7 @@
 }
 
 /// Why a machine is to be deleted at once, whatever is on it.
-fn give_up(node: &Node, view: &View, name: &str, now: u64) -> Option<&'static str> {
-    let row = view.machines.get(name)?;
-    let m = &row.machine;
+fn give_up(node: &Node, view: &View, m: &Machine, now: u64) -> Option<&'static str> {
     let types = view.types.as_ref()?;
     if m.up.is_none() {
         let kind = types.types.iter().find(|t| *t.name == *m.kind)?;
@@ -356,12 +354,7 @@
 
 /// Whether most machines of a block are silent: its holder is cut off.
 fn mostly_silent(view: &View, block: &str) -> bool {
-    let machines = view.blocks.get(block).into_iter().flatten();
-    let machines = machines.filter_map(|name| view.machines.get(name));
-    let up = machines.map(|r| &r.machine).filter(|m| m.up.is_some());
-    let (all, quiet) = up.fold((0, 0), |(all, quiet), m| {
-        (all + 1, quiet + usize::from(m.silent.is_some()))
-    });
+    let (all, quiet) = view.pulse(block);
     quiet > 2 && quiet * 2 > all
 }
 
--- a/crates/rushwalk/src/rigs.rs
+++ b/crates/rushwalk/src/rigs.rs
@@ -121,6 +121,13 @@
         last.elapsed() > times.lease.mul_f64(1.002) + times.round / 2
     }
 
+    /// Whether a report is missing: one may be late by a quarter, and is repeated
+    /// after a while.
+    pub fn overdue(&self, times: &Times) -> bool {
+        let limit = times.report * 13 / 10;
+        self.heard.is_none_or(|at| at.elapsed() > limit)
+    }
+
     pub fn says(&self, uid: &str, index: u32, attempt: u64) -> Option<&TaskReport> {
         let same = |s: &&Said| s.index == index && s.report.attempt == attempt && *s.uid == *uid;
         self.tasks.iter().find(same).map(|s| &s.report)
--- a/crates/rushwalk/src/view.rs
+++ b/crates/rushwalk/src/view.rs
@@ -99,6 +99,8 @@
     pub types: Option<Arc<rec::Types>>,
     pub machines: BTreeMap<Name, MachineRow>,
     pub blocks: BTreeMap<Name, BTreeSet<Name>>,
+    /// Of each block's machines, how many are up, and how many of those silent.
+    pulse: HashMap<Name, (usize, usize)>,
     pub rentals: BTreeMap<Name, Rental>,
     pub jobs: HashMap<Name, JobRow>,
     /// Jobs that are over and have no task left.
@@ -126,6 +128,13 @@
     serde_json::from_str(value.get()).ok()
 }
 
+/// What a machine adds to the counts of its block: up, and silent.
+fn pulse(machine: &Machine) -> (usize, usize) {
+    let up = machine.up.is_some();
+    let silent = up && machine.silent.is_some();
+    (usize::from(up), usize::from(silent))
+}
+
 /// The number of an image, a new one if it has none.
 fn number(images: &mut HashMap<Name, ImageId>, name: &str) -> ImageId {
     if let Some(known) = images.get(name) {
@@ -153,6 +162,7 @@
             types: None,
             machines: BTreeMap::new(),
             blocks: BTreeMap::new(),
+            pulse: HashMap::new(),
             rentals: BTreeMap::new(),
             jobs: HashMap::new(),
             over: HashMap::new(),
@@ -390,10 +400,10 @@
             Op::Deleted(machines) => machines.iter().for_each(|name| self.deleted(name)),
             Op::Up(at, machines) => {
                 for (name, address) in machines {
-                    if let Some(row) = self.machines.get_mut(&name) {
-                        row.machine.up.get_or_insert(at);
-                        row.machine.address = address;
-                    }
+                    self.change(&name, |machine| {
+                        machine.up.get_or_insert(at);
+                        machine.address = address;
+                    });
                 }
             }
             Op::Taken(name, at) => {
@@ -404,16 +414,14 @@
             }
             Op::Silent(at, machines) => {
                 for name in machines {
-                    if let Some(row) = self.machines.get_mut(&name) {
-                        row.machine.silent.get_or_insert(at);
-                    }
+                    self.change(&name, |machine| {
+                        machine.silent.get_or_insert(at);
+                    });
                 }
             }
             Op::Heard(machines) => {
                 for name in machines {
-                    if let Some(row) = self.machines.get_mut(&name) {
-                        row.machine.silent = None;
-                    }
+                    self.change(&name, |machine| machine.silent = None);
                 }
             }
             Op::Over(phase, jobs) => {
@@ -767,6 +775,9 @@
         if self.machines.contains_key(&name) {
             return;
         }
+        let (up, silent) = pulse(&machine);
+        let counted = self.pulse.entry(machine.block.clone()).or_default();
+        *counted = (counted.0 + up, counted.1 + silent);
         let block = self.blocks.entry(machine.block.clone()).or_default();
         block.insert(name.clone());
         let mut row = MachineRow::new(machine);
@@ -784,6 +795,10 @@
             if let Some(block) = self.blocks.get_mut(&row.machine.block) {
                 block.remove(name);
             }
+            let (up, silent) = pulse(&row.machine);
+            if let Some(counted) = self.pulse.get_mut(&row.machine.block) {
+                *counted = (counted.0 - up, counted.1 - silent);
+            }
             for (uid, index) in row.tasks {
                 self.remove(&uid, index);
                 self.settle(&uid);
@@ -792,6 +807,24 @@
         }
     }
 
+    /// Changes a machine's record, and what is counted of its block.
+    fn change(&mut self, name: &Name, change: impl FnOnce(&mut Machine)) {
+        let Some(row) = self.machines.get_mut(name) else {
+            return;
+        };
+        let before = pulse(&row.machine);
+        change(&mut row.machine);
+        let after = pulse(&row.machine);
+        let counted = self.pulse.entry(row.machine.block.clone()).or_default();
+        counted.0 = counted.0 + after.0 - before.0;
+        counted.1 = counted.1 + after.1 - before.1;
+    }
+
+    /// Of a block's machines, how many are up, and how many of those silent.
+    pub fn pulse(&self, block: &str) -> (usize, usize) {
+        self.pulse.get(block).copied().unwrap_or_default()
+    }
+
     pub fn is_over(&self, uid: &str) -> bool {
         self.over.contains_key(uid) || self.jobs.get(uid).is_some_and(|j| j.phase != Phase::Active)
     }
