After an end of all: ports open when blocks are lent, few workers are asked at a time

Cause: after a crash of all three the first controller back opened its port at once; two thousand workers a second were refused, the election and lending took until 14 s after, one node got all blocks, commits went unanswered and the member lease ended. The first tick of a new holder also asked every worker at its own address. Now the public port opens when this process is known and no block belongs to its predecessor; a member registers before it may lead (its predecessor's key, ending just then, was in the way, and the leader lent all to others); a holder asks at most twice as many workers a tick as report in one. Ruled out: waiting for all blocks to have holders (the first open port then drew all workers; leading and lending were late again).

--- a/crates/plan/src/round.rs
+++ b/crates/plan/src/round.rs
@@ -53,8 +53,7 @@
 
     /// Whether its next task may go to a zone.
     fn open(&self, zone: &str) -> bool {
-        self.spec.zone.as_ref().is_none_or(|z| **z == *zone)
-            && self.places.allows(&self.spec, zone)
+        self.spec.zone.as_ref().is_none_or(|z| **z == *zone) && self.places.allows(&self.spec, zone)
     }
 
     fn bias(&self, group: usize, spot: bool) -> f64 {
@@ -640,9 +639,7 @@
                     let all = all.filter(open).filter(|i| one.allows(&plain.slots[*i]));
                     let all = all.filter_map(|i| plain.candidate(i, &one, false));
                     let Some(Candidate {
-                        slot: i,
-                        finish,
-                        ..
+                        slot: i, finish, ..
                     }) = all.min()
                     else {
                         break;
--- a/crates/plan/src/slot.rs
+++ b/crates/plan/src/slot.rs
@@ -55,13 +55,7 @@
 /// others' ends is not known like a fetch: ends that come early help little, late
 /// ones add up. So it counts twice, up to what another machine would boot: a long
 /// queue is worked off meanwhile.
-pub fn doubted(
-    start: f64,
-    now: f64,
-    pending_error: f64,
-    times: &Estimate,
-    job: &Waiting,
-) -> f64 {
+pub fn doubted(start: f64, now: f64, pending_error: f64, times: &Estimate, job: &Waiting) -> f64 {
     if start <= now {
         return start;
     }
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -22,6 +22,9 @@
 /// Items of a list in one change: no change outgrows a value.
 const LISTED: usize = 100;
 
+/// Workers that may be asked in a tick however few there are.
+const ASKED: f64 = 8.0;
+
 pub async fn holder_loop(node: Arc<Node>) {
     let tick = node.times.round / 3;
     let mut looked: Option<Instant> = None;
@@ -333,10 +336,18 @@
 /// those to whom it is too early to send again are to be looked at again.
 fn send(node: &Arc<Node>, machines: &BTreeSet<Name>) -> BTreeSet<Name> {
     let mut again = BTreeSet::new();
+    let mut asked = 0;
     let view = node.view();
     let mut rigs = lock(&node.rigs);
     let held = held(node, &view);
     let report = node.times.report;
+    // Who takes over a thousand machines does not ask them all at once: most will
+    // report by themselves meanwhile. Twice as many as report in a tick are asked,
+    // or as many as a small site has.
+    let ours = held.keys().filter_map(|b| view.blocks.get(b));
+    let ours: usize = ours.map(BTreeSet::len).sum();
+    let ticks = report.as_secs_f64() / node.times.round.as_secs_f64() * 3.0;
+    let most = (2.0 * ours as f64 / ticks).ceil().max(ASKED) as usize;
     for name in machines {
         let Some(row) = view.machines.get(name) else {
             continue;
@@ -367,6 +378,11 @@
             if rig.probed_at.is_some_and(|at| at.elapsed() < pause) {
                 continue;
             }
+            asked += 1;
+            if asked > most {
+                again.insert(name.clone());
+                continue;
+            }
             rig.probed_at = Some(Instant::now());
             rig.inflight = true;
             let block = row.machine.block.clone();
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -169,10 +169,7 @@
             break;
         }
         let grant = view.grants.get(&block);
-        let valid = grant.is_some_and(|(_, g)| {
-            let member = view.members.get(&g.holder);
-            member.is_some_and(|m| m.nonce == g.nonce)
-        });
+        let valid = grant.is_some_and(|(_, g)| view.held(g));
         let at_home = grant
             .and_then(|(_, g)| view.members.get(&g.holder))
             .is_some_and(|m| *m.zone == *zone);
--- a/crates/rushwalk/src/main.rs
+++ b/crates/rushwalk/src/main.rs
@@ -153,9 +153,10 @@
         // Until the view is there nobody can be served. Behind a closed port the
         // workers of a whole fleet, who ask again each second, cost nothing; at
         // an open one they once held up a restarted node's listing for 7 s.
-        let mut synced = node.synced.subscribe();
-        let listed = synced.wait_for(|at| at.is_some());
-        let _ = tokio::time::timeout(node.times.member, listed).await;
+        // Nor while its blocks belong to the process before: after an end
+        // of all, refusing two thousand workers a second left no time to elect a
+        // leader and to lend the blocks, for up to 14 s.
+        let _ = tokio::time::timeout(node.times.member, node.settled()).await;
         let listener = TcpListener::bind(public);
         poem::Server::new(listener)
             .run(api::routes(node.clone()))
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -226,6 +226,28 @@
         (leader.member == self.me() && Some(leader.nonce) == nonce && all_seen).then_some(*version)
     }
 
+    /// Whether the others know of this process.
+    pub fn registered(&self) -> bool {
+        let view = self.view();
+        let there = view.members.get(self.me());
+        there.is_some_and(|m| m.nonce == self.nonce)
+    }
+
+    /// Waits for a view in which this process is known, and no block belongs to
+    /// its predecessor. Not for others' blocks: workers are sent to their holders,
+    /// and behind closed ports would come back each second.
+    pub async fn settled(&self) {
+        let mut changed = self.changed.subscribe();
+        loop {
+            if self.registered() && !self.view().left_over(self.me(), self.nonce) {
+                return;
+            }
+            if changed.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Waits until the view has reached a revision.
     pub async fn reached(&self, revision: u64, patience: Duration) -> bool {
         let mut synced = self.synced.subscribe();
--- a/crates/rushwalk/src/sync.rs
+++ b/crates/rushwalk/src/sync.rs
@@ -162,6 +162,13 @@
                 }
                 if node.synced.borrow().is_some() {
                     register(&node, lease).await;
+                    if !node.registered() {
+                        // Its earlier process's key was in the way, and ended just
+                        // then. A leader that is no member lent all to others.
+                        node.fresh(node.times.round / 2).await;
+                        sleep(every / 8).await;
+                        continue;
+                    }
                     elect(&node, lease).await;
                 }
             }
@@ -180,12 +187,11 @@
 
 async fn register(node: &Node, lease: u64) {
     let key = rec::member_key(node.me());
+    if node.registered() {
+        return;
+    }
     let txn = {
         let view = node.view();
-        let there = view.members.get(node.me());
-        if there.is_some_and(|m| m.nonce == node.nonce) {
-            return;
-        }
         let member = rec::Member {
             zone: node.settings.zone.clone(),
             nonce: node.nonce,
--- a/crates/rushwalk/src/view.rs
+++ b/crates/rushwalk/src/view.rs
@@ -517,6 +517,18 @@
         }
     }
 
+    /// Whether a grant's holder is a controller that lives, as far as is known.
+    pub fn held(&self, grant: &rec::Grant) -> bool {
+        let member = self.members.get(&grant.holder);
+        member.is_some_and(|m| m.nonce == grant.nonce)
+    }
+
+    /// Whether a block still belongs to an earlier process of a controller.
+    pub fn left_over(&self, member: &str, nonce: u64) -> bool {
+        let mut grants = self.grants.values().map(|(_, grant)| grant);
+        grants.any(|g| g.holder == member && g.nonce != nonce)
+    }
+
     /// A live task, with its job.
     pub fn task(&self, uid: &str, index: u32) -> Option<(&JobRow, &TaskRow)> {
         let job = self.jobs.get(uid)?;
