Tests of counted costs and of starts after an end of all; view and fleet split by concern

A holder's looks, workers asked at a time, machines worked out on a full fleet and bytes held at full size are counted and bounded; after an end of all, members register before they lead. What the fleet and the view do is split by concern; what workers said is called reports. Limits in the settings file are checked.

--- a/crates/plan/src/round.rs
+++ b/crates/plan/src/round.rs
@@ -11,6 +11,7 @@
 use crate::slots::Slots;
 use rushwalk_wire::jobs::{JobSpec, Shape};
 use rushwalk_wire::settings::Team;
+use std::cell::Cell;
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
 use std::sync::Arc;
@@ -92,6 +93,8 @@
     pub tie_s: f64,
     /// Slots beyond this index are rentals decided in this round.
     pub rent_from: usize,
+    /// Machines worked out since somebody asked: what planning costs.
+    pub looked: Cell<usize>,
 }
 
 #[derive(Debug, Default)]
@@ -183,7 +186,13 @@
 }
 
 impl Round<'_> {
+    /// How many machines were worked out since this was last asked.
+    pub fn worked_out(&self) -> usize {
+        self.looked.take()
+    }
+
     fn candidate(&self, i: usize, job: &Waiting, free_now: bool) -> Option<Candidate> {
+        self.looked.set(self.looked.get() + 1);
         let slot = &self.slots[i];
         let finish = slot.finish(job, self.now)?;
         if free_now && (finish.start > self.now || !slot.up) {
@@ -609,9 +618,44 @@
             teams,
             usage: Usage::default(),
             tie_s: 3.0,
+            looked: Cell::default(),
         }
     }
 
+    /// On a full fleet few machines can be the best for a task: only those are
+    /// worked out. Once each job cost as much as there were machines.
+    #[test]
+    fn few_machines_are_worked_out_on_a_full_fleet() {
+        let teams = [Team {
+            name: "red".into(),
+            cpus: 0.0,
+            cpus_max: 0.0,
+            gpus: 0.0,
+            gpus_max: 0.0,
+        }];
+        let mut full = round(&teams, &mut 7);
+        let kinds = types();
+        let mut slots = Slots::new(100.0, 2000);
+        for i in 0..2000 {
+            let name = format!("m-{i:04}");
+            let mut slot = Slot::new(name.as_str().into(), i % 2, &kinds[i % 2], 0, false, 100.0);
+            slot.up = true;
+            let whole = slot.whole;
+            slot.take(whole, 100.0, 110.0 + i as f64);
+            slots.push(slot);
+        }
+        full.rent_from = slots.len();
+        full.slots = slots;
+        let one = Waiting {
+            indexes: vec![0],
+            ..job(1, 1.0, 60.0, false)
+        };
+        let decisions = full.run(std::slice::from_ref(&one));
+        assert_eq!(decisions.waits.len(), 1, "its machine is busy");
+        let looked = full.worked_out();
+        assert!((1..100).contains(&looked), "{looked} of 2000 machines");
+    }
+
     /// Keeping the machines in order must find what looking at every machine
     /// for every task finds.
     #[test]
--- a/crates/rushwalk/src/api.rs
+++ b/crates/rushwalk/src/api.rs
@@ -3,7 +3,7 @@
 use crate::mesh;
 use crate::meter::Work;
 use crate::node::{Node, lock, now_ms};
-use crate::rigs::{self, Reply};
+use crate::reports::{self, Reply};
 use poem::http::StatusCode;
 use poem::web::{Data, Path};
 use poem::{Body, Endpoint, EndpointExt, IntoResponse, Response, Route, get, handler, post};
@@ -293,12 +293,13 @@
         Ok(body) => body,
         Err(response) => return response,
     };
-    let _turn = node.meter.turn(Work::Report);
+    let mut turn = node.meter.turn(Work::Report);
+    turn.looked_at(1);
     let report: Report = match serde_json::from_slice(&body) {
         Ok(report) => report,
         Err(error) => return refuse(StatusCode::BAD_REQUEST, error.to_string()),
     };
-    match rigs::beat(&node, &report) {
+    match reports::beat(&node, &report) {
         Reply::Here(answer) => json(StatusCode::OK, &answer),
         Reply::Elsewhere(report_to) => {
             json(StatusCode::MISDIRECTED_REQUEST, &Elsewhere { report_to })
--- a/crates/rushwalk/src/days.rs
+++ b/crates/rushwalk/src/days.rs
@@ -2,6 +2,7 @@
 //! cuts, lost answers and late messages. The protocol's rules must hold.
 
 use crate::api;
+use crate::meter::Work;
 use crate::node::{Node, start};
 use poem::endpoint::EndpointExt;
 use poem::{Endpoint, Request};
@@ -391,20 +392,22 @@
     assert_eq!(status("POST", "/agent/beat", b"\xff\x00").await, 400);
 }
 
+/// A day on which the team may have a thousand machines.
+async fn large(seed: u64) -> Day {
+    let mut day = Day::new(seed);
+    day.world.rules().limits.insert("red".into(), 4000.0);
+    (0..3).for_each(|i| day.crash(i));
+    day.gpus = 4000.0;
+    (0..3).for_each(|i| day.start(i));
+    day.pass(10).await;
+    day
+}
+
 /// The state service takes a few dozen changes a second, whatever the size of
 /// the fleet: a key for each task or machine would not fit.
 #[tokio::test(start_paused = true)]
 async fn writes_follow_rounds_not_tasks() {
-    let mut day = Day::new(8);
-    day.world.rules().limits.insert("red".into(), 4000.0);
-    for i in 0..3 {
-        day.crash(i);
-    }
-    day.gpus = 4000.0;
-    for i in 0..3 {
-        day.start(i);
-    }
-    day.pass(10).await;
+    let mut day = large(8).await;
     let before = day.world.writes();
     let mut jobs = Vec::new();
     for n in 0..20 {
@@ -453,3 +456,77 @@
     assert!(again <= 12, "{again} tasks started anew");
     day.check();
 }
+
+/// On the smallest machines a holder that looked at each of its machines in each
+/// round, or asked all workers at once after a crash, had no time left to answer
+/// them. It looks at those that report or change; most find it by themselves.
+#[tokio::test(start_paused = true)]
+async fn holders_look_at_what_changes_and_ask_few_workers_at_a_time() {
+    let mut day = large(10).await;
+    let service = day.submit(1, "standing", 250, 4.0, 0.0).await;
+    day.pass(40).await;
+    assert_eq!(day.state(&service).await.running, 250);
+    let looked = |day: &Day| -> u64 {
+        let processes = day.processes.iter().flatten();
+        processes.map(|p| p.node.meter.items(Work::Hold)).sum()
+    };
+    let before = looked(&day);
+    day.pass(30).await;
+    // A report every 3 s or so: 2,500 in 30 s, and as many rounds of 250.
+    let looked = looked(&day) - before;
+    assert!(
+        looked < 3_500,
+        "{looked} machines looked at for 2,500 reports"
+    );
+    (0..3).for_each(|i| day.crash(i));
+    day.pass(4).await;
+    (0..3).for_each(|i| day.start(i));
+    day.pass(40).await;
+    assert_eq!(day.state(&service).await.running, 250);
+    let most = day.world.asked_within(Duration::from_millis(300));
+    assert!(most <= 80, "{most} of 250 workers asked in a tick");
+    day.check();
+}
+
+/// While its predecessor's blocks are not lent anew a controller could only
+/// refuse its workers; and one that leads without being a member lends all
+/// blocks to others.
+#[tokio::test(start_paused = true)]
+async fn after_an_end_of_all_members_register_before_they_lead_or_open_ports() {
+    for quarter in 2..30 {
+        let mut day = Day::new(11);
+        day.submit(1, "standing", 6, 1.0, 0.0).await;
+        day.pass(20).await;
+        (0..3).for_each(|i| day.crash(i));
+        sleep(Duration::from_millis(250 * quarter)).await;
+        (0..3).for_each(|i| day.start(i));
+        let opens = day.processes.iter().flatten().map(|p| {
+            let node = p.node.clone();
+            tokio::spawn(async move {
+                node.settled().await;
+                let view = node.view();
+                let me = (node.me(), node.nonce);
+                assert!(
+                    view.members
+                        .iter()
+                        .any(|(m, r)| (m.as_str(), r.nonce) == me)
+                );
+                let mut grants = view.grants.values();
+                assert!(grants.all(|(_, g)| g.holder != me.0 || g.nonce == me.1));
+            })
+        });
+        let opens: Vec<_> = opens.collect();
+        for _ in 0..400 {
+            sleep(Duration::from_millis(20)).await;
+            for process in day.processes.iter().flatten() {
+                let leads = process.node.leadership(&process.node.view()).is_some();
+                assert!(!leads || process.node.registered(), "after {quarter}/4 s");
+            }
+        }
+        for open in opens {
+            assert!(open.is_finished(), "a port is closed 8 s after the start");
+            open.await.unwrap();
+        }
+        day.check();
+    }
+}
--- /dev/null
+++ b/crates/rushwalk/src/fleet/placing.rs
@@ -0,0 +1,240 @@
+//! What waits, in its order, and what becomes of it.
+
+use super::{PLANNED, PLANNED_EACH};
+use crate::leader::{LISTED, LeaderMemory, zone_of};
+use crate::node::Node;
+use crate::slots;
+use crate::view::{Name, View};
+use rushwalk_plan::Amount;
+use rushwalk_plan::quota::Usage;
+use rushwalk_plan::round::{Decisions, Round, Waiting};
+use rushwalk_plan::urgency::{Needs, start_by};
+use rushwalk_wire::jobs::{Priority, Shape};
+use rushwalk_wire::records::{Op, Phase, StopWhy, Types};
+use std::collections::BTreeMap;
+
+/// Counts live tasks into the usage, and plans room for those that their
+/// holder has not placed yet.
+pub fn assigned(view: &View, types: &Types, round: &mut Round) {
+    for uid in &view.live {
+        let Some(job) = view.jobs.get(uid) else {
+            continue;
+        };
+        let amount = Amount::of_task(&job.spec);
+        for _ in &job.tasks {
+            round.usage.add(&job.spec.team, amount);
+        }
+    }
+    let mut last: Option<(&Name, Waiting)> = None;
+    for (uid, index) in &view.unplaced {
+        let Some(job) = view.jobs.get(uid) else {
+            continue;
+        };
+        let Some(hint) = job.tasks.get(index).and_then(|t| t.task.hint.as_ref()) else {
+            continue;
+        };
+        let waiting = match &last {
+            Some((name, waiting)) if *name == uid => waiting,
+            _ => {
+                let waiting = slots::waiting(view, &job.spec, types);
+                &last.insert((uid, waiting)).1
+            }
+        };
+        // Machines come in the order of their names.
+        let at = round
+            .slots
+            .partition_point(|s| !s.name.is_empty() && s.name < *hint);
+        if let Some(slot) = round.slots.get(at).filter(|s| s.name == *hint)
+            && let Some(finish) = slot.finish(waiting, round.now)
+        {
+            round.slots.place(at, waiting, &finish);
+        }
+    }
+}
+
+/// Jobs with tasks that have no place, in order.
+pub fn waiting(view: &mut View, now: u64, node: &Node, types: &Types) -> Vec<Waiting> {
+    let site = &node.settings.site;
+    // Of all unfinished jobs in order of arrival, per team: a job is within
+    // its guarantee if it fits into it together with the earlier ones.
+    let mut unfinished = Usage::default();
+    let mut by_arrival: Vec<(u64, &Name)> = view.active.iter().map(|a| (a.1, &a.2)).collect();
+    by_arrival.sort_unstable();
+    let mut order: Vec<(Priority, f64, u64, Name)> = Vec::new();
+    for (_, uid) in by_arrival {
+        let Some(job) = view.jobs.get(uid) else {
+            continue;
+        };
+        let spec = &job.spec;
+        let amount = Amount::of_task(spec);
+        let n = f64::from(spec.tasks);
+        let all = Amount {
+            cpus: amount.cpus * n,
+            gpus: amount.gpus * n,
+            memory_gb: 0.0,
+        };
+        let team = site.teams.iter().find(|t| t.name == spec.team);
+        let guaranteed = team.is_some_and(|t| unfinished.guaranteed(t, all));
+        unfinished.add(&spec.team, all);
+        if job.tasks.len() as u32 + job.done.count() >= spec.tasks {
+            continue;
+        }
+        // As if on a machine without its image: the type is not known yet.
+        let kind = types.types.first();
+        let needs = Needs {
+            fetch_s: kind.map_or(0.0, |k| {
+                view.averages
+                    .fetch_time(spec.image_gb, &k.name, k.fetch_gb_per_s)
+            }),
+            run_s: kind.map_or(0.0, |k| view.averages.run_time(spec, &k.name)),
+            guaranteed,
+        };
+        let at = job.at as f64 / 1000.0;
+        let by = start_by(spec, at, now as f64 / 1000.0, needs, &site.objectives);
+        order.push((spec.priority, by, job.at, uid.clone()));
+    }
+    order.sort_by(|a, b| {
+        (a.0.cmp(&b.0))
+            .then(a.1.total_cmp(&b.1))
+            .then(a.2.cmp(&b.2))
+    });
+    let mut out: Vec<Waiting> = Vec::new();
+    let mut planned = 0;
+    for (_, _, _, uid) in order {
+        let Some(job) = view.jobs.get(&uid) else {
+            continue;
+        };
+        let spec = job.spec.clone();
+        if spec.shape == Shape::Gang && !job.tasks.is_empty() {
+            continue;
+        }
+        // A job that fails wherever it runs is tried ever more rarely.
+        let trouble = &job.trouble;
+        let pause = 1000u64 << trouble.count.min(6);
+        if trouble.count > 1 && now < trouble.last + pause {
+            continue;
+        }
+        let most = match spec.shape {
+            Shape::Gang => spec.tasks as usize,
+            _ => PLANNED_EACH,
+        };
+        let mut waiting = slots::waiting(view, &spec, types);
+        for t in job.tasks.values() {
+            let machine = t.task.machine.as_ref().and_then(|m| view.machines.get(m));
+            let zone = machine.map(|m| &*m.machine.zone);
+            waiting
+                .places
+                .add(zone.unwrap_or_else(|| zone_of(&t.task.block)));
+        }
+        // After failing in many places it may as well be tried anywhere.
+        if trouble.machines.len() <= 3 {
+            waiting.avoid = trouble.machines.clone();
+        }
+        waiting.indexes = view.waiting(&uid, most);
+        if waiting.indexes.is_empty() {
+            continue;
+        }
+        planned += waiting.indexes.len();
+        out.push(waiting);
+        if planned > PLANNED {
+            break;
+        }
+    }
+    out
+}
+
+/// Gives tasks that can start now to the blocks of their machines.
+pub fn assign(view: &View, round: &Round, decisions: &Decisions, now: u64) -> Vec<Op> {
+    let mut ops = Vec::new();
+    for placed in decisions.placed.chunk_by(|a, b| a.uid == b.uid) {
+        let Some((uid, job)) = view.jobs.get_key_value(&*placed[0].uid) else {
+            continue;
+        };
+        let mut to: BTreeMap<Name, Vec<(u32, Name)>> = BTreeMap::new();
+        for one in placed {
+            let slot = &round.slots[one.slot];
+            let task = (one.index, slot.name.clone());
+            to.entry(slot.block.clone()).or_default().push(task);
+        }
+        if job.spec.shape == Shape::Gang {
+            tracing::info!(job = &**uid, tasks = placed.len(), "gang assigned");
+        }
+        ops.push(Op::Assign(uid.clone(), now, to.into_iter().collect()));
+    }
+    ops
+}
+
+/// A task that runs this many times its predicted time is overdue (§4.4).
+const OVERDUE: f64 = 2.0;
+
+/// Stops overdue batch tasks that would be finished sooner elsewhere, each at
+/// most once. Not while its job's run time is unknown: a wrong guess is not a
+/// slow machine. Each restart takes a place of its own in the plan, so that the
+/// tasks of one machine, whose times run out together, don't pile up.
+pub fn overdue(
+    view: &View,
+    memory: &mut LeaderMemory,
+    round: &mut Round,
+    types: &Types,
+    now: u64,
+) -> Vec<Op> {
+    let mut ops = Vec::new();
+    let seconds = now as f64 / 1000.0;
+    memory
+        .restarted
+        .retain(|(uid, _)| view.jobs.get(uid).is_some_and(|j| j.phase == Phase::Active));
+    for uid in &view.live {
+        let Some(job) = view.jobs.get(uid) else {
+            continue;
+        };
+        let spec = &job.spec;
+        if job.phase != Phase::Active || spec.shape != Shape::Array {
+            continue;
+        }
+        for (index, t) in &job.tasks {
+            let (Some(ran), Some(machine), None) = (t.task.ran, &t.task.machine, t.task.stop)
+            else {
+                continue;
+            };
+            let elapsed = seconds - ran as f64 / 1000.0;
+            // The shortest there are last a while: most are not looked up.
+            if elapsed < 10.0 {
+                continue;
+            }
+            let Some(row) = view.machines.get(machine) else {
+                continue;
+            };
+            let kind = &row.machine.kind;
+            let run = view.averages.run_time(spec, kind);
+            if elapsed < OVERDUE * run {
+                continue;
+            }
+            let name = (uid.clone(), *index);
+            let known = view.averages.knows(uid, kind) || row.slow() > OVERDUE;
+            if !known || memory.restarted.contains(&name) {
+                continue;
+            }
+            let mut probe = slots::waiting(view, spec, types);
+            probe.avoid.push(machine.clone());
+            let Some((i, finish)) = round.best(&probe, true) else {
+                continue;
+            };
+            round.slots.place(i, &probe, &finish);
+            memory.restarted.insert(name);
+            tracing::info!(
+                job = &**uid,
+                index,
+                machine = &**machine,
+                elapsed,
+                run,
+                "overdue task restarted"
+            );
+            let stop = Op::Stop(uid.clone(), t.task.attempt, StopWhy::Overdue, vec![*index]);
+            ops.push(stop);
+            if ops.len() >= LISTED {
+                return ops;
+            }
+        }
+    }
+    ops
+}
--- /dev/null
+++ b/crates/rushwalk/src/fleet/sizing.rs
@@ -0,0 +1,198 @@
+//! What to rent, and what to give back.
+
+use crate::leader::{LISTED, LeaderMemory, zone_of};
+use crate::slots;
+use crate::view::{Name, View};
+use rushwalk_plan::round::{Round, Waiting};
+use rushwalk_plan::slot::Slot;
+use rushwalk_wire::cloud::MAX_RENT;
+use rushwalk_wire::jobs::Shape;
+use rushwalk_wire::records::{Op, Phase, Rental, Stage, Types};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Rents what the round found lacking.
+pub fn rent(round: &Round, types: &Types, now: u64) -> Vec<Op> {
+    let mut wanted: BTreeMap<(usize, usize, bool), u32> = BTreeMap::new();
+    for slot in round.slots.iter().skip(round.rent_from) {
+        *wanted
+            .entry((slot.group, slot.zone, slot.spot))
+            .or_default() += 1;
+    }
+    let mut ops = Vec::new();
+    for ((kind, zone, spot), mut count) in wanted {
+        while count > 0 {
+            let some = count.min(MAX_RENT);
+            count -= some;
+            let rental = Rental {
+                kind: types.types[kind].name.clone(),
+                zone: round.zones[zone].to_string(),
+                spot,
+                count: some,
+                at: now,
+            };
+            tracing::info!(?rental, "renting");
+            let request = format!("r-{:x}", rand::random::<u64>());
+            ops.push(Op::Rent(request.into(), rental));
+        }
+    }
+    ops
+}
+
+/// Drains machines that nothing needs, and deletes drained ones.
+pub fn idle(view: &View, memory: &mut LeaderMemory, round: &Round) -> Vec<Op> {
+    let needed: BTreeSet<&str> = round
+        .slots
+        .iter()
+        .filter(|s| s.tasks > 0)
+        .map(|s| &*s.name)
+        .collect();
+    memory
+        .idle
+        .retain(|name, _| view.machines.contains_key(name) && !needed.contains(&**name));
+    let mut stages: BTreeMap<Stage, Vec<Name>> = BTreeMap::new();
+    for (name, row) in &view.machines {
+        if needed.contains(&**name) || !row.tasks.is_empty() {
+            continue;
+        }
+        let stage = match row.machine.stage {
+            Stage::Drain => Stage::Delete,
+            Stage::Use if row.machine.silent.is_none() => {
+                let since = *memory.idle.entry(name.clone()).or_insert_with(Instant::now);
+                let types = view.types.iter().flat_map(|t| &t.types);
+                let kind = types.clone().find(|t| *t.name == *row.machine.kind);
+                // It costs a boot to have it again.
+                let hold = kind.map_or(60.0, |t| 0.5 * t.boot_s);
+                if since.elapsed().as_secs_f64() < hold {
+                    continue;
+                }
+                Stage::Drain
+            }
+            _ => continue,
+        };
+        stages.entry(stage).or_default().push(name.clone());
+    }
+    let mut ops = Vec::new();
+    for (stage, machines) in stages {
+        tracing::info!(?stage, ?machines, "machines not needed");
+        for some in machines.chunks(LISTED) {
+            ops.push(Op::Stage(stage, some.to_vec()));
+        }
+    }
+    ops
+}
+
+/// Machines that one round may empty at most, and the share above which a
+/// machine is not worth it.
+pub const EMPTIED: usize = 64;
+const WELL_USED: f64 = 0.7;
+
+/// Machines to do without, if what waits and is expected finds its places all
+/// the same: the dearest for what is on them first. They are closed in the plan.
+/// Batch tasks end where they are; services move, one machine's at a time, to
+/// where their images are already. How many are tried doubles while it works.
+pub fn shrink(
+    view: &View,
+    memory: &mut LeaderMemory,
+    round: &mut Round,
+    types: &Types,
+    now: u64,
+) -> Vec<Name> {
+    let shortest = types.types.iter().map(|t| t.boot_s).fold(60.0, f64::min);
+    let wait = Duration::from_secs_f64(0.3 * shortest);
+    let lately = |at: Option<Instant>| at.is_some_and(|at| at.elapsed() < wait);
+    if lately(memory.shrunk) {
+        return Vec::new();
+    }
+    memory.shrinking = memory.shrinking.max(1);
+    let mut candidates: Vec<(f64, usize)> = Vec::new();
+    for (i, slot) in round.slots.iter().enumerate() {
+        let Some(row) = view.machines.get(&slot.name) else {
+            continue;
+        };
+        // What is planned for it beside its tasks must not be lost.
+        let fixed = slot.up && slot.tasks > 0 && slot.tasks == row.tasks.len();
+        let used = 1.0 - slot.free_at(round.now).least_share_of(&slot.whole);
+        if fixed && used < WELL_USED {
+            candidates.push((used / slot.price, i));
+        }
+    }
+    candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut closed = Vec::new();
+    for (_, i) in candidates.into_iter().take(2 * EMPTIED) {
+        if closed.len() >= memory.shrinking {
+            break;
+        }
+        let name = round.slots[i].name.clone();
+        let Some(row) = view.machines.get(&name) else {
+            continue;
+        };
+        let Some(services) = leaving(view, row, types, now) else {
+            continue;
+        };
+        if !services.is_empty() && lately(memory.gathered) {
+            continue;
+        }
+        let mut before: Vec<(usize, Slot)> = Vec::new();
+        let fits = services.iter().all(|job| {
+            let Some((to, finish)) = round.best(job, true) else {
+                return false;
+            };
+            let warm = finish.runs <= round.now + job.overhead_s + 0.1;
+            let slot = &round.slots[to];
+            let used = slot.tasks > 0;
+            before.push((to, slot.clone()));
+            round.slots.place(to, job, &finish);
+            used && warm
+        });
+        if fits {
+            round.slots.close(i, true);
+            if !services.is_empty() {
+                memory.gathered = Some(Instant::now());
+            }
+            closed.push(name);
+        } else {
+            for (to, slot) in before.into_iter().rev() {
+                round.slots.put(to, slot);
+            }
+        }
+    }
+    closed
+}
+
+/// A machine's services as if they waited; `None` if it should stay as it is:
+/// gangs keep what they have, and what has just started is not disturbed.
+pub fn leaving(
+    view: &View,
+    row: &crate::view::MachineRow,
+    types: &Types,
+    now: u64,
+) -> Option<Vec<Waiting>> {
+    let mut out = Vec::new();
+    for (uid, index) in &row.tasks {
+        let job = view.jobs.get(uid)?;
+        let task = &job.tasks.get(index)?.task;
+        let service = job.spec.shape == Shape::Service;
+        let settled = task.ran.is_some_and(|ran| now > ran + SETTLED_MS);
+        let open = job.phase == Phase::Active && task.stop.is_none();
+        if !open || job.spec.shape == Shape::Gang || (service && !settled) {
+            return None;
+        }
+        if !service {
+            continue;
+        }
+        let mut waiting = slots::waiting(view, &job.spec, types);
+        for (i, t) in &job.tasks {
+            if i != index {
+                waiting.places.add(zone_of(&t.task.block));
+            }
+        }
+        waiting.avoid = vec![task.machine.clone()?];
+        out.push(waiting);
+    }
+    Some(out)
+}
+
+/// A start that is stopped within this time does not count for the users.
+const SETTLED_MS: u64 = 30_000;
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -3,7 +3,7 @@
 
 use crate::meter::Work;
 use crate::node::{For, Node, lock, now_ms};
-use crate::rigs::{Rig, Rigs, commands};
+use crate::reports::{Heard, Reports, commands};
 use crate::slots;
 use crate::view::{MachineRow, Name, View};
 use rushwalk_clients::Error;
@@ -44,29 +44,33 @@
             looked = Some(Instant::now());
         }
         let (conditions, ops) = {
-            let _turn = node.meter.turn(Work::Hold);
+            let mut turn = node.meter.turn(Work::Hold);
             let mut view = node.view();
-            let mut rigs = lock(&node.rigs);
+            let mut reports = lock(&node.reports);
             dirty.append(&mut view.dirty);
-            dirty.append(&mut rigs.dirty);
+            dirty.append(&mut reports.dirty);
             let held = held(&node, &view);
             if all || known != held {
-                if rigs.all.len() > view.machines.len() {
-                    rigs.all.retain(|name, _| view.machines.contains_key(name));
+                if reports.all.len() > view.machines.len() {
+                    reports
+                        .all
+                        .retain(|name, _| view.machines.contains_key(name));
                 }
                 for (block, token) in &held {
                     let machines = view.blocks.get(block).into_iter().flatten();
                     let due = machines.filter(|name| {
-                        let rig = rigs.all.get(*name);
-                        rig.is_none_or(|rig| {
-                            rig.overdue(&node.times) || rig.since.is_none_or(|s| s.0 != *token)
+                        let worker = reports.all.get(*name);
+                        worker.is_none_or(|worker| {
+                            worker.overdue(&node.times)
+                                || worker.since.is_none_or(|s| s.0 != *token)
                         })
                     });
                     dirty.extend(due.cloned());
                 }
                 known.clone_from(&held);
             }
-            let mut ops = outcomes(&node, &view, &mut rigs, &held, &dirty);
+            turn.looked_at(dirty.len());
+            let mut ops = outcomes(&node, &view, &mut reports, &held, &dirty);
             ops.extend(placements(&node, &view, &held));
             let conditions: Vec<_> = held.iter().map(|(b, t)| (rec::grant_key(b), *t)).collect();
             (conditions, ops)
@@ -145,7 +149,7 @@
 fn outcomes(
     node: &Node,
     view: &View,
-    rigs: &mut Rigs,
+    reports: &mut Reports,
     held: &BTreeMap<Name, u64>,
     machines: &BTreeSet<Name>,
 ) -> Vec<Op> {
@@ -158,18 +162,18 @@
         let Some(&token) = held.get(&row.machine.block) else {
             continue;
         };
-        let Some(rig) = rigs.all.get_mut(name) else {
+        let Some(worker) = reports.all.get_mut(name) else {
             continue;
         };
-        marks(node, name, row, rig, &mut out);
-        let lost = row.machine.silent.is_some() && rig.lease_over(token, &node.times);
+        marks(node, name, row, worker, &mut out);
+        let lost = row.machine.silent.is_some() && worker.lease_over(token, &node.times);
         for (uid, index) in &row.tasks {
             let Some((job, t)) = view.task(uid, *index) else {
                 continue;
             };
             let attempt = t.task.attempt;
             let active = job.phase == Phase::Active;
-            match rig.says(uid, *index, attempt) {
+            match worker.says(uid, *index, attempt) {
                 Some(r) if r.state == TaskState::Exited => {
                     let how = match r.cause {
                         Some(ExitCause::Done) => How::Done,
@@ -208,7 +212,7 @@
                 }
                 None => {
                     let unwanted = !active || t.task.stop.is_some() || t.task.ran.is_some();
-                    if unwanted && rig.proves_absence(token) {
+                    if unwanted && worker.proves_absence(token) {
                         tracing::info!(job = &**uid, index, machine = &**name, "task gone");
                         out.ends(uid, attempt, How::Gone, *index);
                     }
@@ -220,33 +224,35 @@
 }
 
 /// Marks on a machine's record: up, recalled, silent.
-fn marks(node: &Node, name: &Name, row: &MachineRow, rig: &mut Rig, out: &mut Gathered) {
+fn marks(node: &Node, name: &Name, row: &MachineRow, worker: &mut Heard, out: &mut Gathered) {
     let machine = &row.machine;
-    if rig.heard.is_some() {
-        if machine.up.is_none() || *machine.address != *rig.address {
-            out.up.push((name.clone(), rig.address.as_str().into()));
+    if worker.heard.is_some() {
+        if machine.up.is_none() || *machine.address != *worker.address {
+            out.up.push((name.clone(), worker.address.as_str().into()));
         }
-        if let (Some(at), None) = (rig.recalled, machine.taken) {
+        if let (Some(at), None) = (worker.recalled, machine.taken) {
             tracing::info!(machine = &**name, "recalled");
             out.ops.push(Op::Taken(name.clone(), at));
         }
     }
     // A new holder gives every worker time to find it, and asks those that it
     // does not hear of: a lost report is no silence.
-    let last = rig.heard.max(rig.since.map(|s| s.1));
+    let last = worker.heard.max(worker.since.map(|s| s.1));
     if machine.up.is_some()
         && let Some(last) = last
     {
-        let asked = rig.probed_at.is_some_and(|at| at > last) && !rig.inflight;
+        let asked = worker.probed_at.is_some_and(|at| at > last) && !worker.inflight;
         if last.elapsed() > node.times.silent {
             if machine.silent.is_none() && asked {
-                if !std::mem::replace(&mut rig.told, true) {
+                if !std::mem::replace(&mut worker.told, true) {
                     tracing::info!(machine = &**name, "silent");
                 }
                 out.silent.push(name.clone());
             }
         } else if machine.silent.is_some()
-            && rig.heard.is_some_and(|h| h.elapsed() <= node.times.silent)
+            && worker
+                .heard
+                .is_some_and(|h| h.elapsed() <= node.times.silent)
         {
             out.heard.push(name.clone());
         }
@@ -289,6 +295,7 @@
             usage: Usage::default(),
             tie_s: node.times.tie.as_secs_f64(),
             rent_from: usize::MAX,
+            looked: Default::default(),
         };
         for name in view.blocks.get(block).into_iter().flatten() {
             let Some(row) = view.machines.get(name) else {
@@ -338,7 +345,7 @@
     let mut again = BTreeSet::new();
     let mut asked = 0;
     let view = node.view();
-    let mut rigs = lock(&node.rigs);
+    let mut reports = lock(&node.reports);
     let held = held(node, &view);
     let report = node.times.report;
     // Who takes over a thousand machines does not ask them all at once: most will
@@ -358,24 +365,24 @@
         if row.machine.up.is_none() || row.machine.stage == Stage::Delete {
             continue;
         }
-        let rig = rigs.of(name);
-        if rig.since.is_none_or(|(t, _)| t != token) {
-            rig.since = Some((token, Instant::now()));
+        let worker = reports.of(name);
+        if worker.since.is_none_or(|(t, _)| t != token) {
+            worker.since = Some((token, Instant::now()));
         }
-        if rig.inflight {
+        if worker.inflight {
             continue;
         }
-        let address = match rig.address.is_empty() {
+        let address = match worker.address.is_empty() {
             true => row.machine.address.to_string(),
-            false => rig.address.clone(),
+            false => worker.address.clone(),
         };
-        if rig.overdue(&node.times) {
+        if worker.overdue(&node.times) {
             // Not heard of: it may report to an earlier holder, or be cut off.
-            let pause = match rig.heard {
+            let pause = match worker.heard {
                 None => report / 2,
                 Some(_) => report,
             };
-            if rig.probed_at.is_some_and(|at| at.elapsed() < pause) {
+            if worker.probed_at.is_some_and(|at| at.elapsed() < pause) {
                 continue;
             }
             asked += 1;
@@ -383,26 +390,28 @@
                 again.insert(name.clone());
                 continue;
             }
-            rig.probed_at = Some(Instant::now());
-            rig.inflight = true;
+            worker.probed_at = Some(Instant::now());
+            worker.inflight = true;
             let block = row.machine.block.clone();
             tokio::spawn(probe(node.clone(), name.clone(), address, block));
             continue;
         }
-        let commands = commands(&view, rig, name, token);
+        let commands = commands(&view, worker, name, token);
         let urgent = commands
             .iter()
             .any(|c| !matches!(c, Command::Forget { .. }));
-        let due = rig.sent_at.is_none_or(|at| at.elapsed() > node.times.round);
+        let due = worker
+            .sent_at
+            .is_none_or(|at| at.elapsed() > node.times.round);
         if urgent && !due {
             again.insert(name.clone());
         }
-        if urgent && due && rig.session > 0 {
-            rig.sent_at = Some(Instant::now());
-            rig.inflight = true;
+        if urgent && due && worker.session > 0 {
+            worker.sent_at = Some(Instant::now());
+            worker.inflight = true;
             let commands = DirectCommands {
                 token,
-                session: rig.session,
+                session: worker.session,
                 commands,
             };
             tokio::spawn(direct(node.clone(), name.clone(), address, commands));
@@ -414,17 +423,17 @@
 async fn direct(node: Arc<Node>, name: Name, address: String, commands: DirectCommands) {
     let patience = node.times.round * 3;
     let result = node.workers.command(&address, &commands, patience).await;
-    let mut rigs = lock(&node.rigs);
-    rigs.dirty.insert(name.clone());
-    let rig = rigs.of(&name);
-    rig.inflight = false;
+    let mut reports = lock(&node.reports);
+    reports.dirty.insert(name.clone());
+    let worker = reports.of(&name);
+    worker.inflight = false;
     match result {
-        Ok((_, report)) => rig.take(&report, false),
+        Ok((_, report)) => worker.take(&report, false),
         Err(Error::Unknown(error)) => {
             tracing::debug!(machine = &*name, error, "direct commands unanswered");
             let starts = |c: &Command| matches!(c, Command::Run { .. });
             if commands.commands.iter().any(starts) {
-                rig.tainted = Some((commands.token, commands.session));
+                worker.tainted = Some((commands.token, commands.session));
             }
         }
         Err(error) => tracing::debug!(machine = &*name, %error, "direct commands failed"),
@@ -451,12 +460,12 @@
         let answer = node.workers.command(&address, &empty, patience).await;
         result = answer.map(|(_, report)| report);
     }
-    let mut rigs = lock(&node.rigs);
-    rigs.dirty.insert(name.clone());
-    let rig = rigs.of(&name);
-    rig.inflight = false;
+    let mut reports = lock(&node.reports);
+    reports.dirty.insert(name.clone());
+    let worker = reports.of(&name);
+    worker.inflight = false;
     if let Ok(report) = result {
-        rig.take(&report, false);
+        worker.take(&report, false);
     }
 }
 
@@ -467,10 +476,10 @@
         sleep(node.times.silent).await;
         let tainted: BTreeMap<Name, u64> = {
             let view = node.view();
-            let rigs = lock(&node.rigs);
+            let reports = lock(&node.reports);
             let held = held(&node, &view);
-            let tainted = rigs.all.iter().filter_map(|(name, rig)| {
-                let (under, _) = rig.tainted?;
+            let tainted = reports.all.iter().filter_map(|(name, worker)| {
+                let (under, _) = worker.tainted?;
                 let row = view.machines.get(name)?;
                 let token = *held.get(&row.machine.block)?;
                 // Nothing to judge on it, or soon gone with all on it.
@@ -491,8 +500,8 @@
             let txn = Transaction::default().when(&key, token).put(&key, &grant);
             if let Outcome::Done(new) = node.commit(txn, For::Upkeep).await {
                 // Nobody else held it in between: what is known stays known.
-                for rig in lock(&node.rigs).all.values_mut() {
-                    rig.since = rig
+                for worker in lock(&node.reports).all.values_mut() {
+                    worker.since = worker
                         .since
                         .map(|(t, at)| (if t == token { new } else { t }, at));
                 }
--- a/crates/rushwalk/src/main.rs
+++ b/crates/rushwalk/src/main.rs
@@ -10,7 +10,7 @@
 mod mesh;
 mod meter;
 mod node;
-mod rigs;
+mod reports;
 mod slots;
 mod snapshot;
 mod sync;
@@ -18,6 +18,8 @@
 
 #[cfg(test)]
 mod days;
+#[cfg(test)]
+mod size;
 
 use clap::{Parser, Subcommand};
 use node::Node;
--- a/crates/rushwalk/src/meter.rs
+++ b/crates/rushwalk/src/meter.rs
@@ -41,6 +41,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Spent {
     turns: u64,
+    /// What was looked at: machines by a holder, places by the leader, entries.
+    items: u64,
     time: Duration,
     longest: Duration,
 }
@@ -54,26 +56,42 @@
 pub struct Turn<'a> {
     meter: &'a Meter,
     work: Work,
+    items: u64,
     since: Instant,
 }
 
+impl Turn<'_> {
+    /// So much was looked at in it.
+    pub fn looked_at(&mut self, items: usize) {
+        self.items += items as u64;
+    }
+}
+
 impl Meter {
     pub fn turn(&self, work: Work) -> Turn<'_> {
         Turn {
             meter: self,
             work,
+            items: 0,
             since: Instant::now(),
         }
     }
 
-    /// Turns, milliseconds and the longest turn of each kind of work so far.
+    /// How many things were looked at in one kind of work so far.
+    #[cfg(test)]
+    pub fn items(&self, work: Work) -> u64 {
+        let spent = self.spent.lock().unwrap_or_else(PoisonError::into_inner);
+        spent[work as usize].items
+    }
+
+    /// Turns, things looked at, milliseconds and the longest turn of each kind of work so far.
     pub fn told(&self) -> Value {
         let spent = self.spent.lock().unwrap_or_else(PoisonError::into_inner);
         let ms = |d: Duration| (d.as_secs_f64() * 1e4).round() / 10.0;
         let kinds = KINDS.iter().zip(spent.iter());
         kinds
             .map(|((_, name), s)| {
-                let told = json!({"turns": s.turns, "ms": ms(s.time), "longest_ms": ms(s.longest)});
+                let told = json!({"turns": s.turns, "items": s.items, "ms": ms(s.time), "longest_ms": ms(s.longest)});
                 (name.to_string(), told)
             })
             .collect::<serde_json::Map<_, _>>()
@@ -91,6 +109,7 @@
             .unwrap_or_else(PoisonError::into_inner);
         let spent = &mut spent[self.work as usize];
         spent.turns += 1;
+        spent.items += self.items;
         spent.time += time;
         spent.longest = spent.longest.max(time);
     }
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -3,7 +3,7 @@
 use crate::leader::LeaderMemory;
 use crate::log::{Asked, Slots};
 use crate::meter::Meter;
-use crate::rigs::Rigs;
+use crate::reports::Reports;
 use crate::view::View;
 use rushwalk_clients::budget::Budget;
 use rushwalk_clients::state::{Outcome, State};
@@ -64,7 +64,7 @@
     pub workers: Workers,
     pub mesh: Mesh,
     pub view: Mutex<View>,
-    pub rigs: Mutex<Rigs>,
+    pub reports: Mutex<Reports>,
     pub leading: Mutex<LeaderMemory>,
     pub peers: Mutex<HashMap<String, (Instant, Hello)>>,
     pub write_budget: Mutex<Budget>,
@@ -160,7 +160,7 @@
             workers: Workers::new(http.clone()),
             mesh: Mesh::new(http),
             view: Mutex::new(View::new(averages)),
-            rigs: Mutex::default(),
+            reports: Mutex::default(),
             leading: Mutex::default(),
             peers: Mutex::default(),
             write_budget: Mutex::new(Budget::new(share, share.max(4.0), now)),
--- a/crates/rushwalk/src/rigs.rs
+++ b/crates/rushwalk/src/reports.rs
@@ -10,15 +10,15 @@
 use tokio::time::Instant;
 
 #[derive(Default)]
-pub struct Rigs {
-    pub all: HashMap<Name, Rig>,
+pub struct Reports {
+    pub all: HashMap<Name, Heard>,
     /// Those that said something since somebody looked.
     pub dirty: BTreeSet<Name>,
 }
 
-impl Rigs {
+impl Reports {
     /// What a machine last said; the name is shared with the view's.
-    pub fn of(&mut self, name: &Name) -> &mut Rig {
+    pub fn of(&mut self, name: &Name) -> &mut Heard {
         self.all.entry(name.clone()).or_default()
     }
 }
@@ -32,7 +32,7 @@
 
 /// What a worker last said.
 #[derive(Default)]
-pub struct Rig {
+pub struct Heard {
     pub session: u64,
     seq: u64,
     /// Highest token it has seen.
@@ -61,7 +61,7 @@
     pub probed_at: Option<Instant>,
 }
 
-impl Rig {
+impl Heard {
     /// Takes in a report; older ones than the newest are ignored.
     pub fn take(&mut self, report: &Report, beat: bool) {
         let newer = (report.session, report.seq) > (self.session, self.seq);
@@ -144,7 +144,7 @@
 }
 
 /// Commands that bring a machine from what it reports to what is wanted.
-pub fn commands(view: &View, rig: &Rig, name: &str, token: u64) -> Vec<Command> {
+pub fn commands(view: &View, worker: &Heard, name: &str, token: u64) -> Vec<Command> {
     let mut out = Vec::new();
     let Some(row) = view.machines.get(name) else {
         return out;
@@ -156,7 +156,7 @@
         let attempt = t.task.attempt;
         let cancelled = job.phase != Phase::Active;
         let stop = cancelled || t.task.stop.is_some();
-        match rig.says(uid, *index, attempt) {
+        match worker.says(uid, *index, attempt) {
             // A task that ran and is gone was lost; it is not started again
             // under the same attempt.
             None if stop || t.task.ran.is_some() => {}
@@ -180,7 +180,7 @@
             }
         }
     }
-    for said in &rig.tasks {
+    for said in &worker.tasks {
         let attempt = said.report.attempt;
         let task = view
             .jobs
@@ -198,7 +198,7 @@
                 attempt,
                 grace_s: 0.0,
             });
-        } else if rig.tainted.is_none() && !rig.inflight && rig.token <= token {
+        } else if worker.tainted.is_none() && !worker.inflight && worker.token <= token {
             // A start that may come late must find the task still known.
             out.push(Command::Forget { piece, attempt });
         }
@@ -228,7 +228,7 @@
             }
             _ => {
                 // Not entitled to answer, but it shows that the worker lives.
-                lock(&node.rigs).of(name).take(report, true);
+                lock(&node.reports).of(name).take(report, true);
                 Reply::NotNow
             }
         };
@@ -238,20 +238,20 @@
         node.fresh_wanted.notify_one();
         return Reply::Elsewhere(None);
     }
-    let mut rigs = lock(&node.rigs);
-    rigs.dirty.insert(name.clone());
-    let rig = rigs.of(name);
-    rig.take(report, true);
+    let mut reports = lock(&node.reports);
+    reports.dirty.insert(name.clone());
+    let worker = reports.of(name);
+    worker.take(report, true);
     // A late report is no base for commands, but it may be answered.
-    let current = (report.session, report.seq) == (rig.session, rig.seq);
-    let commands = match current && !rig.inflight {
-        true => commands(&view, rig, &report.machine, token),
+    let current = (report.session, report.seq) == (worker.session, worker.seq);
+    let commands = match current && !worker.inflight {
+        true => commands(&view, worker, &report.machine, token),
         false => Vec::new(),
     };
     if commands.iter().any(|c| matches!(c, Command::Run { .. })) {
-        rig.answered = Some(report.seq);
+        worker.answered = Some(report.seq);
     }
-    rig.renewed = Some(Instant::now());
+    worker.renewed = Some(Instant::now());
     Reply::Here(Answer { token, commands })
 }
 
@@ -267,21 +267,21 @@
         let settings = rushwalk_wire::settings::Settings::parse(text).unwrap();
         let times = Times::new(&settings);
         let (lease, loan) = (times.lease, times.loan);
-        let mut rig = Rig::default();
-        assert!(!rig.lease_over(7, &times), "never looked after");
-        rig.since = Some((7, Instant::now()));
+        let mut worker = Heard::default();
+        assert!(!worker.lease_over(7, &times), "never looked after");
+        worker.since = Some((7, Instant::now()));
         tokio::time::advance(lease + Duration::from_secs(2)).await;
         assert!(
-            !rig.lease_over(7, &times),
+            !worker.lease_over(7, &times),
             "an earlier holder may have answered"
         );
         tokio::time::advance(loan).await;
-        assert!(rig.lease_over(7, &times));
-        assert!(!rig.lease_over(8, &times), "lent to others in between");
-        rig.renewed = Some(Instant::now());
+        assert!(worker.lease_over(7, &times));
+        assert!(!worker.lease_over(8, &times), "lent to others in between");
+        worker.renewed = Some(Instant::now());
         tokio::time::advance(lease).await;
-        assert!(!rig.lease_over(7, &times), "clocks drift");
+        assert!(!worker.lease_over(7, &times), "clocks drift");
         tokio::time::advance(Duration::from_secs(1)).await;
-        assert!(rig.lease_over(7, &times));
+        assert!(worker.lease_over(7, &times));
     }
 }
--- a/crates/rushwalk/src/sync.rs
+++ b/crates/rushwalk/src/sync.rs
@@ -64,7 +64,8 @@
 
 /// Takes a watch's answer into the view.
 fn take(node: &Node, sent: Instant, answer: Changes) {
-    let turn = node.meter.turn(Work::Watch);
+    let mut turn = node.meter.turn(Work::Watch);
+    turn.looked_at(answer.events.len());
     node.view().watch(answer, now_ms());
     drop(turn);
     synced(node, sent);
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -54,6 +54,8 @@
     faults: Mutex<HashSet<Fault>>,
     asked: Mutex<HashMap<String, Vec<String>>>,
     random: Mutex<SmallRng>,
+    /// When workers were asked for their reports at their own addresses.
+    asked_at: Mutex<Vec<Instant>>,
     lease: Duration,
     report: Duration,
     pub boot: Duration,
@@ -78,6 +80,7 @@
             faults: Mutex::default(),
             asked: Mutex::default(),
             random: Mutex::new(SmallRng::seed_from_u64(seed)),
+            asked_at: Mutex::default(),
             lease,
             report,
             boot: Duration::from_secs(5),
@@ -89,6 +92,13 @@
         lock(&self.store).writes
     }
 
+    /// The most workers that were asked for their reports within a span of time.
+    pub fn asked_within(&self, span: Duration) -> usize {
+        let asked = lock(&self.asked_at);
+        let within = |i: usize| asked.partition_point(|at| *at < asked[i] + span) - i;
+        (0..asked.len()).map(within).max().unwrap_or(0)
+    }
+
     /// Whether the state service holds a key.
     pub fn holds(&self, key: &str) -> bool {
         let items = lock(&self.store).list(key, "").items;
@@ -310,6 +320,9 @@
         body: &[u8],
     ) -> Option<(u16, Vec<u8>)> {
         sleep(Duration::from_millis(2)).await;
+        if path == "/status" {
+            lock(&self.asked_at).push(Instant::now());
+        }
         self.held(node).await;
         let (status, report) = {
             let mut workers = self.workers();
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -196,6 +196,17 @@
                 return invalid(field, format!("{value} is not above 0"));
             }
         }
+        // 0 means no limit; less than the least given is a slip of the hand.
+        let limits = [
+            ("settings.quota.cpu_share", self.limits.cpu_share, 0.005),
+            ("settings.quota.mem_mb", self.limits.mem_mb, 32.0),
+            ("settings.quota.fd_limit", self.limits.fd_limit, 64.0),
+        ];
+        for (field, value, least) in limits {
+            if !(value == 0.0 || value.is_finite() && value >= least) {
+                return invalid(field, format!("{value} is neither 0 nor at least {least}"));
+            }
+        }
         if self.state.txn_ops < 4 {
             return invalid(
                 "settings.state.txn_ops",
@@ -280,6 +291,9 @@
             ("10.0.0.1:8080", "localhost:8080", "public_addr"),
             ("gpus = 10.0", "gpus = 30.0", "teams.red.gpus"),
             ("txn_ops = 16", "txn_ops = \"x\"", "line"),
+            ("cpu_share = 0.2", "cpu_share = -0.2", "quota.cpu_share"),
+            ("mem_mb = 200.0", "mem_mb = nan", "quota.mem_mb"),
+            ("mem_mb = 200.0", "mem_mb = 1.0", "quota.mem_mb"),
         ] {
             let text = EXAMPLE.replacen(from, to, 1);
             assert_ne!(text, EXAMPLE, "{from}");
