--- a/crates/rushwalk/src/sync.rs
+++ b/crates/rushwalk/src/sync.rs
@@ -165,7 +165,7 @@
                     register(&node, lease).await;
                     if !node.registered() {
                         // Its earlier process's key was in the way, and ended just
-                        // then. A leader that is no member lent all to others.
+                        // then.
                         node.fresh(node.times.round / 2).await;
                         sleep(every / 8).await;
                         continue;
@@ -211,7 +211,12 @@
     }
 }
 
-async fn elect(node: &Node, lease: u64) {
+/// Takes the lead if nobody has it. A leader that was no member as yet lent all
+/// blocks to others.
+pub async fn elect(node: &Node, lease: u64) {
+    if !node.registered() {
+        return;
+    }
     let nonce = rand::random::<u64>() >> 12;
     let txn = {
         let view = node.view();
