--- a/crates/rushwalk/src/fleet.rs
+++ b/crates/rushwalk/src/fleet.rs
@@ -45,13 +45,20 @@
         (round, waiting, types)
     };
     let mut decisions = Decisions::default();
-    for some in waiting.chunks(AT_ONCE) {
+    let mut rest = &waiting[..];
+    while !rest.is_empty() {
         let mut turn = node.meter.turn(Work::Place);
-        let some = round.run(some);
+        let started = Instant::now();
+        let mut done = 0;
+        while done < rest.len() && goes_on(node, done, started) {
+            let some = round.run(&rest[done..=done]);
+            decisions.placed.extend(some.placed);
+            decisions.waits.extend(some.waits);
+            done += 1;
+        }
         turn.looked_at(round.worked_out());
         drop(turn);
-        decisions.placed.extend(some.placed);
-        decisions.waits.extend(some.waits);
+        rest = &rest[done..];
         yield_now().await;
     }
     let mut ops = {
@@ -145,6 +152,12 @@
     ops
 }
 
+/// Whether a turn of planning goes on. On a slow controller even a few jobs take
+/// long, and answers to workers and users must not wait for them.
+fn goes_on(node: &Node, done: usize, started: Instant) -> bool {
+    done == 0 || (done < AT_ONCE && started.elapsed() < node.times.round / 48)
+}
+
 /// How the fleet is used, for whoever follows the log.
 fn tell(round: &Round, types: &Types) {
     if !tracing::enabled!(tracing::Level::DEBUG) {
@@ -167,15 +180,21 @@
 /// Plans what is expected, each job for its time; how many tasks would wait.
 async fn expect(node: &Node, round: &mut Round<'_>, expected: &[(f64, Waiting)]) -> usize {
     let mut late = 0;
-    for some in expected.chunks(AT_ONCE) {
+    let mut rest = expected;
+    while !rest.is_empty() {
         let mut turn = node.meter.turn(Work::Size);
-        for (at, job) in some {
+        let started = Instant::now();
+        let mut done = 0;
+        while done < rest.len() && goes_on(node, done, started) {
+            let (at, job) = &rest[done];
             round.now = round.clock + at;
             let decisions = round.run(std::slice::from_ref(job));
             late += job.indexes.len() - decisions.placed.len();
+            done += 1;
         }
         turn.looked_at(round.worked_out());
         drop(turn);
+        rest = &rest[done..];
         yield_now().await;
     }
     round.now = round.clock;
--- a/crates/rushwalk/src/log.rs
+++ b/crates/rushwalk/src/log.rs
@@ -75,6 +75,12 @@
 /// Changes as text, in groups that fit a value, `limit` bytes.
 pub fn pack(ops: &[Op], limit: usize) -> Vec<String> {
     let mut out: Vec<String> = Vec::new();
+    pack_more(&mut out, ops, limit);
+    out
+}
+
+/// Packs more changes behind those that are packed already.
+pub fn pack_more(out: &mut Vec<String>, ops: &[Op], limit: usize) {
     for op in ops {
         let Ok(text) = serde_json::to_string(op) else {
             continue;
@@ -92,7 +98,6 @@
             _ => out.push(text),
         }
     }
-    out
 }
 
 /// An entry, or a chunk, from packed changes.
--- a/crates/rushwalk/src/snapshot.rs
+++ b/crates/rushwalk/src/snapshot.rs
@@ -8,12 +8,16 @@
 use rushwalk_wire::records::{self as rec, Base, LEADER};
 use rushwalk_wire::state::{Transaction, Write};
 use std::sync::Arc;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 /// Entries in the log after which a snapshot is made: this many seconds' worth
 /// of the state service's changes.
 const AFTER_S: f64 = 12.0;
 
+/// Changes made text in one turn.
+const AT_ONCE: usize = 256;
+
 pub async fn snapshot_loop(node: Arc<Node>) {
     let after = (AFTER_S * node.settings.site.state.write_rps) as usize;
     loop {
@@ -32,20 +36,31 @@
 /// Chunks first, in the half that is not in use, then the head that makes them
 /// count. All on condition of the leader key: of two leaders one fails.
 async fn write(node: &Node) -> bool {
-    let (version, base, base_version, packed) = {
+    let (version, mut base, base_version, ops) = {
         let _turn = node.meter.turn(Work::Snapshot);
         let view = node.view();
         let Some(version) = node.leadership(&view) else {
             return false;
         };
-        let packed = log::pack(&view.dump(), node.packed_limit());
         let base = Base {
             at: view.revision,
             generation: view.base.generation + 1,
-            chunks: packed.len(),
+            chunks: 0,
         };
-        (version, base, view.version(rec::BASE), packed)
+        (version, base, view.version(rec::BASE), view.dump())
     };
+    // The changes are of one moment; making them text takes longer than others
+    // on this thread should wait.
+    let mut packed = Vec::new();
+    for some in ops.chunks(AT_ONCE) {
+        let mut turn = node.meter.turn(Work::Snapshot);
+        turn.looked_at(some.len());
+        log::pack_more(&mut packed, some, node.packed_limit());
+        drop(turn);
+        yield_now().await;
+    }
+    drop(ops);
+    base.chunks = packed.len();
     let budget = 40 << 10;
     let mut chunks = packed.iter().enumerate().peekable();
     while chunks.peek().is_some() {
