--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -1,12 +1,12 @@
 //! HTTP/1.1 with kept connections, one request at a time on each.
 
+use crate::idle::Idle;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
-use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -48,22 +48,28 @@
     fn call(&self, to: SocketAddr, method: Method, path: String, body: Vec<u8>) -> Exchange;
 }
 
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Http {
     other: Option<Arc<dyn Transport>>,
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>,
+    idle: Arc<Mutex<Idle<Connection>>>,
 }
 
-/// Idle connections kept for one address; more would only hold sockets.
-const IDLE_EACH: usize = 8;
 /// Answers larger than this are dropped rather than held in memory.
 const MAX_ANSWER: usize = 16 << 20;
 
 impl Http {
+    /// Keeps at most so many connections that are not in use.
+    pub fn new(kept: usize) -> Http {
+        Http {
+            other: None,
+            idle: Arc::new(Mutex::new(Idle::new(kept))),
+        }
+    }
+
     pub fn over(transport: Arc<dyn Transport>) -> Http {
         Http {
             other: Some(transport),
-            ..Http::default()
+            ..Http::new(0)
         }
     }
 
@@ -135,13 +141,11 @@
 
     fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = idle.get_mut(&address)?;
-        while let Some(sender) = list.pop() {
+        while let Some(sender) = idle.take(address) {
             if sender.is_ready() && !sender.is_closed() {
                 return Some(sender);
             }
         }
-        idle.remove(&address);
         None
     }
 
@@ -150,17 +154,13 @@
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = idle.entry(address).or_default();
-        list.retain(|s| !s.is_closed());
-        if list.len() < IDLE_EACH {
-            list.push(sender);
-        }
+        idle.put(address, sender);
     }
 
     /// Drops kept connections to an address that may be dead.
     pub fn forget(&self, address: SocketAddr) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.remove(&address);
+        idle.forget(address);
     }
 }
 
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod budget;
 pub mod cloud;
 pub mod http;
+mod idle;
 pub mod mesh;
 pub mod state;
 pub mod worker;
--- a/crates/rushwalk/src/admin.rs
+++ b/crates/rushwalk/src/admin.rs
@@ -117,7 +117,7 @@
 pub async fn ask(address: &str, path: &str) -> Result<String, String> {
     let to = rushwalk_clients::http::address(address).map_err(|e| e.to_string())?;
     let patience = Duration::from_secs(5);
-    let answer: serde_json::Value = Http::default()
+    let answer: serde_json::Value = Http::new(0)
         .json(to, Method::GET, path, Vec::new(), patience)
         .await
         .map_err(|e| format!("{address}: {e}"))?;
--- a/crates/rushwalk/src/main.rs
+++ b/crates/rushwalk/src/main.rs
@@ -144,10 +144,20 @@
     }
 }
 
+/// Connections kept for later: a sixteenth of the sockets, which leaves them and
+/// the memory to those who call. 0 means no limit.
+fn kept(sockets: f64) -> usize {
+    match sockets as usize {
+        0 => 256,
+        sockets => sockets.div_ceil(16),
+    }
+}
+
 async fn serve(settings: Settings) -> Result<(), String> {
     let public = settings.public_addr.clone();
     let mesh = settings.mesh_addr.clone();
-    let node = Node::new(settings, Http::default()).map_err(|e| e.to_string())?;
+    let http = Http::new(kept(settings.site.limits.fd_limit));
+    let node = Node::new(settings, http).map_err(|e| e.to_string())?;
     tracing::info!(member = node.me(), nonce = node.nonce, "started");
     let _loops = node::start(&node);
     let mesh = poem::Server::new(TcpListener::bind(mesh)).run(mesh::routes(node.clone()));
--- a/crates/rushwalk/src/view.rs
+++ b/crates/rushwalk/src/view.rs
@@ -177,9 +177,11 @@
         }
     }
 
-    /// An image's number; jobs' and machines' images all have one.
+    /// An image's number; jobs' and machines' images all have one, and one that
+    /// is unknown gets the next: numbers index tables, so none is far off.
     pub fn image(&self, name: &str) -> ImageId {
-        self.images.get(name).copied().unwrap_or(ImageId::MAX)
+        let next = self.images.len() as ImageId;
+        self.images.get(name).copied().unwrap_or(next)
     }
 
     /// Version of a key that is not in the log.
