--- a/crates/rushwalk/src/admin.rs
+++ b/crates/rushwalk/src/admin.rs
@@ -76,6 +76,7 @@
         .into_iter()
         .map(|(why, jobs)| json!({"why": why, "jobs": jobs.len(), "first": &jobs[..jobs.len().min(NAMED)]}))
         .collect();
+    let (up_s, busy_s) = node.busy();
     let age = node.synced.borrow().map(|at| at.elapsed().as_secs_f64());
     answer(json!({"member": node.me(), "leads": leads,
         "leader": view.leader.as_ref().map(|(_, l)| l.member.clone()),
@@ -83,7 +84,7 @@
         "snapshot": {"at": view.base.at, "chunks": view.base.chunks, "entries_since": view.entries},
         "members": view.members.keys().collect::<Vec<_>>(),
         "grants": grants, "machines": machines,
-        "work": node.meter.told(), "rentals": view.rentals.len(), "jobs_active": view.active.len(),
+        "up_s": up_s, "busy_s": busy_s, "work": node.meter.told(), "rentals": view.rentals.len(), "jobs_active": view.active.len(),
         "jobs_live": view.live.len(), "waiting": waiting}))
 }
 
--- a/crates/rushwalk/src/api.rs
+++ b/crates/rushwalk/src/api.rs
@@ -141,6 +141,8 @@
 }
 
 pub async fn submit_here(node: &Arc<Node>, body: &[u8]) -> Response {
+    let mut turn = node.meter.turn(Work::User);
+    turn.looked_at(1);
     // A known job is answered by its state, however the request looks now.
     let named = serde_json::from_slice::<serde_json::Value>(body).ok();
     let uid = named
@@ -150,10 +152,12 @@
     if let Some(uid) = uid {
         let known = node.view().knows(uid);
         if known {
+            drop(turn);
             return answer(node, uid).await;
         }
     }
     let parsed = JobSpec::parse(body);
+    drop(turn);
     let refused = match &parsed {
         Ok(spec) => {
             let Some(types) = node.view().types.clone() else {
@@ -238,6 +242,8 @@
             None => return not_now("the state service does not answer"),
         },
     };
+    let mut turn = node.meter.turn(Work::User);
+    turn.looked_at(1);
     match state {
         Some(state) => json(StatusCode::OK, &state),
         None => refuse(StatusCode::NOT_FOUND, "no such job"),
--- a/crates/rushwalk/src/meter.rs
+++ b/crates/rushwalk/src/meter.rs
@@ -10,7 +10,7 @@
 pub enum Work {
     /// Workers' reports: read, and answered.
     Report,
-    /// Users' questions and changes.
+    /// Users' submissions, read and checked, and answers to their questions.
     User,
     /// Reading and applying what the state service says has changed.
     Watch,
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -81,6 +81,7 @@
     pub fresh_wanted: Notify,
     pub member_lease: Mutex<Option<u64>>,
     pub meter: Meter,
+    started: Instant,
 }
 
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -132,12 +133,9 @@
 
 /// Says once in a lease where the time went, for whoever follows the log.
 async fn tell_loop(node: Arc<Node>) {
-    let started = Instant::now();
     loop {
         tokio::time::sleep(node.times.lease).await;
-        let metrics = tokio::runtime::Handle::current().metrics();
-        let busy_s = metrics.worker_total_busy_duration(0).as_secs_f64();
-        let up_s = started.elapsed().as_secs_f64();
+        let (up_s, busy_s) = node.busy();
         tracing::info!(up_s, busy_s, work = %node.meter.told(), "time spent");
     }
 }
@@ -173,6 +171,7 @@
             fresh_wanted: Notify::new(),
             member_lease: Mutex::default(),
             meter: Meter::default(),
+            started: now,
             settings,
             times,
         }))
@@ -186,6 +185,14 @@
         lock(&self.view)
     }
 
+    /// Seconds since the start, and how many of them its thread was busy.
+    pub fn busy(&self) -> (f64, f64) {
+        let metrics = tokio::runtime::Handle::current().metrics();
+        let busy = metrics.worker_total_busy_duration(0);
+        let tenths = |d: Duration| (d.as_secs_f64() * 10.0).round() / 10.0;
+        (tenths(self.started.elapsed()), tenths(busy))
+    }
+
     pub fn poke(&self) {
         self.changed.send_modify(|n| *n += 1);
     }
