--- a/crates/plan/src/round.rs
+++ b/crates/plan/src/round.rs
@@ -544,6 +544,16 @@
         vec![kind("small", 16.0, 5.0), kind("large", 64.0, 22.0)]
     }
 
+    fn unlimited() -> Team {
+        Team {
+            name: "red".into(),
+            cpus: 0.0,
+            cpus_max: 0.0,
+            gpus: 0.0,
+            gpus_max: 0.0,
+        }
+    }
+
     fn job(n: u32, gpus: f64, run_s: f64, spread: bool) -> Waiting {
         let text = format!(
             r#"{{"uid":"j-{n}","lane":"a","crew":"red","shape":"sweep","rank":"normal",
@@ -626,13 +636,7 @@
     /// worked out. Once each job cost as much as there were machines.
     #[test]
     fn few_machines_are_worked_out_on_a_full_fleet() {
-        let teams = [Team {
-            name: "red".into(),
-            cpus: 0.0,
-            cpus_max: 0.0,
-            gpus: 0.0,
-            gpus_max: 0.0,
-        }];
+        let teams = [unlimited()];
         let mut full = round(&teams, &mut 7);
         let kinds = types();
         let mut slots = Slots::new(100.0, 2000);
@@ -660,13 +664,7 @@
     /// for every task finds.
     #[test]
     fn ordered_candidates_find_the_same_places_as_a_plain_search() {
-        let teams = [Team {
-            name: "red".into(),
-            cpus: 0.0,
-            cpus_max: 0.0,
-            gpus: 0.0,
-            gpus_max: 0.0,
-        }];
+        let teams = [unlimited()];
         for trace in 0..50u64 {
             let mut seed = trace;
             let mut ordered = round(&teams, &mut seed);
