--- a/crates/rushwalk/src/api.rs
+++ b/crates/rushwalk/src/api.rs
@@ -37,31 +37,33 @@
 }
 
 fn refuse(status: StatusCode, error: impl Into<String>) -> Response {
-    let mut response = json(
+    json(
         status,
         &Refusal {
             error: error.into(),
         },
-    );
-    if status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS {
-        let after = poem::http::HeaderValue::from_static("1");
-        response.headers_mut().insert("retry-after", after);
-    }
-    response
+    )
 }
 
-/// Refused for want of changes: come back when the budget will have some.
-fn too_many(node: &Node) -> Response {
-    let mut response = refuse(StatusCode::TOO_MANY_REQUESTS, "too many requests");
-    let wait = lock(&node.write_budget).wait(1.0, 0.0, Instant::now());
+/// Refused for now, saying when to come back: in whole seconds, as HTTP has it.
+fn refuse_until(status: StatusCode, why: &str, wait: Duration) -> Response {
+    let mut response = refuse(status, why);
     let seconds = wait.as_secs_f64().ceil().clamp(1.0, 30.0) as u64;
     let after = poem::http::HeaderValue::from(seconds);
     response.headers_mut().insert("retry-after", after);
     response
 }
 
-fn not_now(why: &str) -> Response {
-    refuse(StatusCode::SERVICE_UNAVAILABLE, why)
+/// Refused for want of changes: come back when the budget will have some.
+fn too_many(node: &Node) -> Response {
+    let wait = lock(&node.write_budget).wait(1.0, 0.0, Instant::now());
+    refuse_until(StatusCode::TOO_MANY_REQUESTS, "too many requests", wait)
+}
+
+/// Refused because the state service is out of reach, or not in view yet: it is
+/// tried anew within a quarter of a round.
+fn not_now(node: &Node, why: &str) -> Response {
+    refuse_until(StatusCode::SERVICE_UNAVAILABLE, why, node.times.round / 4)
 }
 
 pub async fn bytes(body: Body) -> Result<Vec<u8>, Response> {
@@ -129,14 +131,12 @@
 /// A peer's answer in place of ours, which would be 503.
 async fn passed_on(node: &Node, change: &Change) -> Response {
     match mesh::pass_on(node, change).await {
-        Some(answer) if answer.status == 429 => {
-            refuse(StatusCode::TOO_MANY_REQUESTS, "too many requests")
-        }
+        Some(answer) if answer.status == 429 => too_many(node),
         Some(answer) => Response::builder()
             .status(StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY))
             .content_type("application/json")
             .body(answer.body),
-        None => not_now("the state service does not answer"),
+        None => not_now(node, "the state service does not answer"),
     }
 }
 
@@ -161,7 +161,7 @@
     let refused = match &parsed {
         Ok(spec) => {
             let Some(types) = node.view().types.clone() else {
-                return not_now("the machine types are not known yet");
+                return not_now(node, "the machine types are not known yet");
             };
             let site = &node.settings.site;
             match can_ever_run(spec, &site.teams, &types.types, &site.zones) {
@@ -175,7 +175,7 @@
         // It may have been accepted elsewhere, with another body.
         if let Some(uid) = uid {
             if !node.fresh(PATIENCE).await {
-                return not_now("the state service does not answer");
+                return not_now(node, "the state service does not answer");
             }
             let known = node.view().state_of(uid);
             if let Some(state) = known {
@@ -204,12 +204,12 @@
             match state {
                 Some(state) if state.state == Stance::Queued => json(StatusCode::CREATED, &state),
                 Some(state) => json(StatusCode::OK, &state),
-                None => not_now("try again"),
+                None => not_now(node, "try again"),
             }
         }
         Some(Outcome::Refused(error)) if error.status() == Some(429) => too_many(node),
         None => too_many(node),
-        _ => not_now("the state service does not answer"),
+        _ => not_now(node, "the state service does not answer"),
     }
 }
 
@@ -239,7 +239,7 @@
         true => node.view().state_of(uid),
         false => match mesh::ask_peers(node, uid).await {
             Some(answer) => answer.state,
-            None => return not_now("the state service does not answer"),
+            None => return not_now(node, "the state service does not answer"),
         },
     };
     let mut turn = node.meter.turn(Work::User);
@@ -264,7 +264,7 @@
 pub async fn cancel_here(node: &Arc<Node>, uid: &str) -> Response {
     if !node.view().knows(uid) {
         if !node.fresh(PATIENCE).await {
-            return not_now("the state service does not answer");
+            return not_now(node, "the state service does not answer");
         }
         if !node.view().knows(uid) {
             return refuse(StatusCode::NOT_FOUND, "no such job");
@@ -281,7 +281,7 @@
         }
         Some(Outcome::Refused(error)) if error.status() == Some(429) => too_many(node),
         None => too_many(node),
-        _ => not_now("the state service does not answer"),
+        _ => not_now(node, "the state service does not answer"),
     }
 }
 
@@ -289,7 +289,7 @@
 async fn health(node: Data<&Arc<Node>>) -> Response {
     match mesh::healthy(&node) {
         true => "ok".into_response(),
-        false => not_now("no contact with the state service"),
+        false => not_now(&node, "no contact with the state service"),
     }
 }
 
@@ -310,6 +310,20 @@
         Reply::Elsewhere(report_to) => {
             json(StatusCode::MISDIRECTED_REQUEST, &Elsewhere { report_to })
         }
-        Reply::NotNow => not_now("not entitled"),
+        Reply::NotNow => not_now(&node, "not entitled"),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_refusal_says_when_to_come_back() {
+        for (wait, seconds) in [(0.2, "1"), (1.2, "2"), (90.0, "30")] {
+            let wait = Duration::from_secs_f64(wait);
+            let response = refuse_until(StatusCode::TOO_MANY_REQUESTS, "too many", wait);
+            assert_eq!(response.headers()["retry-after"], seconds);
+        }
     }
 }
