--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod amount;
 pub mod fleet;
+pub mod market;
 pub mod predict;
 pub mod quota;
 pub mod round;
--- a/crates/plan/src/round.rs
+++ b/crates/plan/src/round.rs
@@ -76,6 +76,10 @@
     pub slot: Slot,
     /// Machines of ours in that zone: the emptier zone wins a tie.
     pub ours: usize,
+    /// So many may be had, as far as is known.
+    pub left: u32,
+    /// Those that this plan has taken.
+    pub taken: u32,
 }
 
 pub struct Round<'a> {
@@ -274,17 +278,17 @@
     }
 
     /// The cheapest new machine for a task whose best score is `otherwise`.
-    fn offer(&self, job: &Waiting, zone: Option<usize>, otherwise: f64) -> Option<Slot> {
+    fn offer(&self, job: &Waiting, zone: Option<usize>, otherwise: f64) -> Option<usize> {
         let spec = &job.spec;
-        let mut best: Option<(f64, usize, &Slot)> = None;
+        let mut best: Option<(f64, usize, usize)> = None;
         let mut new = vec![0; self.zones.len()];
-        for slot in self.slots.iter().skip(self.rent_from) {
-            new[slot.zone] += 1;
-        }
         for offer in &self.offers {
+            new[offer.slot.zone] += offer.taken as usize;
+        }
+        for (i, offer) in self.offers.iter().enumerate() {
             let slot = &offer.slot;
             let there = zone.is_none_or(|z| z == slot.zone) && job.open(&self.zones[slot.zone]);
-            if !there || !job.allows(slot) {
+            if !there || offer.taken >= offer.left || !job.allows(slot) {
                 continue;
             }
             let Some(finish) = slot.finish(job, self.now) else {
@@ -303,10 +307,27 @@
                 .as_ref()
                 .is_none_or(|(c, o, _)| (cost, ours) < (*c, *o))
             {
-                best = Some((cost, ours, slot));
+                best = Some((cost, ours, i));
+            }
+        }
+        best.map(|(_, _, i)| i)
+    }
+
+    /// The offer that a machine to be rented came from.
+    fn offered(&mut self, slot: &Slot) -> Option<&mut Offer> {
+        let same = |s: &Slot| (s.group, s.zone, s.spot) == (slot.group, slot.zone, slot.spot);
+        self.offers.iter_mut().find(|o| same(&o.slot))
+    }
+
+    /// Takes the plan back to machines as they were before.
+    pub fn restore(&mut self, slots: Slots) {
+        self.offers.iter_mut().for_each(|offer| offer.taken = 0);
+        for slot in slots.iter().skip(self.rent_from) {
+            if let Some(offer) = self.offered(slot) {
+                offer.taken += 1;
             }
         }
-        best.map(|(_, _, slot)| slot.clone())
+        self.slots = slots;
     }
 
     /// Plans as many of `n` tasks of a job as there are places for, one after
@@ -343,12 +364,14 @@
                 rented = self.offer(&job, zone, otherwise);
             }
             let (i, finish) = match rented {
-                Some(slot) => {
-                    let Some(finish) = slot.finish(&job, self.now) else {
+                Some(k) => {
+                    let offer = &mut self.offers[k];
+                    let Some(finish) = offer.slot.finish(&job, self.now) else {
                         break;
                     };
-                    tried.rented += slot.price;
-                    self.slots.push(slot);
+                    offer.taken += 1;
+                    tried.rented += offer.slot.price;
+                    self.slots.push(offer.slot.clone());
                     (self.slots.len() - 1, finish)
                 }
                 None => {
@@ -411,6 +434,12 @@
         for (i, slot) in undo.slots.into_iter().rev() {
             self.slots.put(i, slot);
         }
+        for i in undo.len..self.slots.len() {
+            let slot = self.slots[i].clone();
+            if let Some(offer) = self.offered(&slot) {
+                offer.taken -= 1;
+            }
+        }
         self.slots.truncate(undo.len);
     }
 
--- a/crates/rushwalk/src/cloud.rs
+++ b/crates/rushwalk/src/cloud.rs
@@ -1,60 +1,67 @@
 //! The leader's dealings with the cloud: machine types, rentals, deletions and
 //! the list. What is asked of it was committed first.
 
+use crate::fleet::kind_of;
 use crate::leader::{append, commit};
 use crate::node::{For, Node, lock, now_ms};
 use crate::view::{Name, View};
+use rushwalk_clients::cloud::Rented;
+use rushwalk_plan::market::Kind;
 use rushwalk_wire::cloud::{ListedState, MAX_DELETE, RentRequest};
 use rushwalk_wire::records::{self as rec, LEADER, Machine, Op, Rental, Stage};
 use rushwalk_wire::state::Transaction;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
-/// Carries out rentals and deletions that are committed; reads the list.
-pub async fn cloud_loop(node: Arc<Node>) {
-    let site = &node.settings.site;
+/// Machine types and the list: calls that nothing waits for.
+pub async fn list_loop(node: Arc<Node>) {
     let mut listed_at: Option<Instant> = None;
     let mut typed_at: Option<Instant> = None;
-    // Three kinds of calls share the budget with a margin.
-    let gap = Duration::from_secs_f64(1.5 / site.cloud.rps);
-    let list_every = Duration::from_secs_f64(4.0 * site.cloud.list_lag_s.max(1.0));
     loop {
-        sleep(gap).await;
-        let leading = {
-            let view = node.view();
-            node.leadership(&view)
-        };
-        if leading.is_none() {
+        sleep(node.times.round / 4).await;
+        if !leads(&node) {
             continue;
         }
         if typed_at.is_none_or(|at| at.elapsed() > node.times.lease * 2) && types(&node).await {
             typed_at = Some(Instant::now());
-            sleep(gap).await;
-        }
-        if delete(&node).await {
-            sleep(gap).await;
-        }
-        let rentals: Vec<(Name, Rental)> = {
-            let view = node.view();
-            let list = view.rentals.iter();
-            list.map(|(name, r)| (name.clone(), r.clone())).collect()
-        };
-        // Side by side: at the start of a day many are wanted at once.
-        for (name, rental) in rentals {
-            if lock(&node.leading).asking.insert(name.clone()) {
-                tokio::spawn(rent_one(node.clone(), name, rental));
-                sleep(gap).await;
-            }
         }
-        if listed_at.is_none_or(|at| at.elapsed() > list_every) {
+        // A large fleet takes many pages: a tenth of the calls at most.
+        let pages = (node.view().machines.len() / PAGE + 1) as f64;
+        let lag = node.settings.site.cloud.list_lag_s.max(1.0);
+        let every = (4.0 * lag).max(10.0 * pages / node.cloud.rate());
+        if listed_at.is_none_or(|at| at.elapsed().as_secs_f64() > every) {
             listed_at = Some(Instant::now());
             list(&node).await;
         }
     }
 }
 
+/// Machines in a page of the list.
+const PAGE: usize = 500;
+
+fn leads(node: &Node) -> bool {
+    let view = node.view();
+    node.leadership(&view).is_some()
+}
+
+/// Gives back what is to be deleted: at once if tasks wait to be gone or a call is
+/// full, else once in a round, for a call costs the same for one as for a hundred.
+pub async fn return_loop(node: Arc<Node>) {
+    let mut last: Option<Instant> = None;
+    loop {
+        sleep(node.times.round / 4).await;
+        if !leads(&node) {
+            continue;
+        }
+        let lately = last.is_some_and(|at| at.elapsed() < node.times.round);
+        if delete(&node, lately).await {
+            last = Some(Instant::now());
+        }
+    }
+}
+
 async fn types(node: &Node) -> bool {
     let answer = match node.cloud.types().await {
         Ok(answer) => answer,
@@ -82,8 +89,8 @@
 }
 
 /// Deletes what is to be deleted; afterwards all on it is surely gone.
-async fn delete(node: &Node) -> bool {
-    let names: Vec<Name> = {
+async fn delete(node: &Node, lately: bool) -> bool {
+    let (busy, names): (bool, Vec<Name>) = {
         let view = node.view();
         let delete = |m: &&crate::view::MachineRow| m.machine.stage == Stage::Delete;
         let mut list: Vec<_> = view
@@ -94,9 +101,11 @@
             .collect();
         // Those on which tasks wait to be gone come first.
         list.sort();
-        list.into_iter().map(|l| l.1).take(MAX_DELETE).collect()
+        let busy = list.first().is_some_and(|(tasks, _)| tasks.0 > 0);
+        let names = list.into_iter().map(|l| l.1).take(MAX_DELETE);
+        (busy, names.collect())
     };
-    if names.is_empty() {
+    if names.is_empty() || (lately && !busy && names.len() < MAX_DELETE) {
         return false;
     }
     let asked = names.iter().map(|n| n.to_string()).collect();
@@ -124,14 +133,75 @@
     true
 }
 
-async fn rent_one(node: Arc<Node>, name: Name, rental: Rental) {
-    ask_one(&node, &name, rental).await;
-    // Unanswered ones are asked for again, under the same name.
-    sleep(node.times.round).await;
-    lock(&node.leading).asking.remove(&name);
+/// Carries out the rentals that are committed, side by side, and commits together
+/// what became of them.
+pub async fn rent_loop(node: Arc<Node>) {
+    let (tell, mut told) = mpsc::unbounded_channel::<(Name, Rental, Option<Rented>)>();
+    loop {
+        sleep(node.times.round / 8).await;
+        let version = {
+            let view = node.view();
+            node.leadership(&view)
+        };
+        let mut answers = Vec::new();
+        while let Ok(answer) = told.try_recv() {
+            answers.push(answer);
+        }
+        if let Some(version) = version
+            && !answers.is_empty()
+        {
+            let ops = outcomes(&node, &answers);
+            append(&node, version, &ops, For::Work).await;
+        }
+        // What is still open is asked for again, under the same name: it rents
+        // nothing more.
+        for (name, ..) in answers {
+            lock(&node.leading).asking.remove(&name);
+        }
+        let Some(version) = version else {
+            continue;
+        };
+        let view = node.view();
+        let mut memory = lock(&node.leading);
+        memory.unsent.retain(|_, (v, _)| *v == version);
+        for (name, rental) in &view.rentals {
+            if memory.asking.insert(name.clone()) {
+                let ask = ask(
+                    node.clone(),
+                    version,
+                    name.clone(),
+                    rental.clone(),
+                    tell.clone(),
+                );
+                tokio::spawn(ask);
+            }
+        }
+    }
+}
+
+type Tell = mpsc::UnboundedSender<(Name, Rental, Option<Rented>)>;
+
+/// Asks for one rental and tells what came of it; `None` if that is not known.
+async fn ask(node: Arc<Node>, version: u64, name: Name, rental: Rental, tell: Tell) {
+    node.cloud.turn().await;
+    let kind = kind_of(&rental);
+    let refused = {
+        let mut memory = lock(&node.leading);
+        // Its kind ran out since: never asked for, it can simply be dropped.
+        let unsent = memory.unsent.remove(&name);
+        unsent.is_some_and(|(v, at)| v == version && memory.market.ran_out_since(&kind, at))
+    };
+    let answer = match refused {
+        true => Some(Rented::Nothing),
+        false => asked(&node, &name, &rental, &kind).await,
+    };
+    if answer.is_none() {
+        sleep(node.times.round).await;
+    }
+    let _ = tell.send((name, rental, answer));
 }
 
-async fn ask_one(node: &Node, name: &Name, rental: Rental) {
+async fn asked(node: &Node, name: &Name, rental: &Rental, kind: &Kind) -> Option<Rented> {
     let request = RentRequest {
         request: name.to_string(),
         kind: rental.kind.clone(),
@@ -139,58 +209,44 @@
         spot: rental.spot,
         count: rental.count,
     };
-    let kind = (rental.kind.clone(), rental.zone.clone(), rental.spot);
-    let answer = node.cloud.rent(&request).await;
-    let (got, op) = match answer {
-        Ok(answer) => {
-            let n = answer.machines.len();
-            tracing::info!(request = &**name, n, of = rental.count, ?kind, "rented");
-            let blocks = {
-                let view = node.view();
-                blocks_for(node, &view, &rental.zone, n)
-            };
-            let names = answer.machines.into_iter().map(Name::from);
-            let op = Op::Rented(name.clone(), names.zip(blocks).collect());
-            (n as u32 >= rental.count, op)
-        }
-        Err(error) if error.status() == Some(503) || error.status() == Some(400) => {
-            tracing::info!(request = &**name, ?kind, %error, "rental refused");
-            (false, Op::Refused(name.clone()))
-        }
+    let answer = match node.cloud.rent(&request).await {
+        Ok(answer) => answer,
         Err(error) => {
             // It may have been carried out: asked again under the same name.
             tracing::info!(request = &**name, %error, "rental unanswered");
-            return;
+            return None;
         }
     };
-    {
-        let mut memory = lock(&node.leading);
-        match got {
-            true => {
-                memory.refused.remove(&kind);
-            }
-            false => {
-                let refused = memory.refused.get(&kind).copied();
-                let (_, n) = refused.unwrap_or((Instant::now(), 0));
-                let pause = node.times.round * 2u32.pow(n.min(3)) * 6;
-                memory.refused.insert(kind, (Instant::now() + pause, n + 1));
+    let got = match &answer {
+        Rented::Machines(machines) => machines.len() as u32,
+        Rented::Nothing | Rented::Malformed => 0,
+    };
+    tracing::info!(request = &**name, got, of = rental.count, ?kind, "rented");
+    let have = node.view().by_kind().get(kind).copied().unwrap_or_default();
+    let pause = 6.0 * node.times.round.as_secs_f64();
+    let market = &mut lock(&node.leading).market;
+    market.answered(kind, rental.count, got, have, node.uptime(), pause);
+    Some(answer)
+}
+
+/// What became of rentals, with blocks for what was rented.
+fn outcomes(node: &Node, answers: &[(Name, Rental, Option<Rented>)]) -> Vec<Op> {
+    let view = node.view();
+    let mut added = HashMap::new();
+    let mut ops = Vec::new();
+    for (name, rental, answer) in answers {
+        ops.push(match answer {
+            Some(Rented::Machines(machines)) => {
+                let n = machines.len();
+                let blocks = blocks_for(node, &view, &rental.zone, n, &mut added);
+                let names = machines.iter().map(|m| Name::from(m.as_str()));
+                Op::Rented(name.clone(), names.zip(blocks).collect())
             }
-        }
-    }
-    // Until it is in, the rental stands and would be asked for again, which
-    // rents nothing more: the name is the same.
-    for _ in 0..3 {
-        let leading = {
-            let view = node.view();
-            node.leadership(&view)
-        };
-        if let Some(version) = leading
-            && append(node, version, std::slice::from_ref(&op), For::Work).await
-        {
-            return;
-        }
-        sleep(node.times.round / 2).await;
+            Some(_) => Op::Refused(name.clone()),
+            None => continue,
+        });
     }
+    ops
 }
 
 /// Machines of a block: large enough that few grants cover the fleet, small
@@ -198,10 +254,15 @@
 const BLOCK: usize = 256;
 
 /// The zone's blocks with room, for `n` machines.
-fn blocks_for(node: &Node, view: &View, zone: &str, n: usize) -> Vec<Name> {
+fn blocks_for(
+    node: &Node,
+    view: &View,
+    zone: &str,
+    n: usize,
+    added: &mut HashMap<String, usize>,
+) -> Vec<Name> {
     let mut out = Vec::new();
     let nodes = 1 + node.settings.peers.len();
-    let mut added: HashMap<String, usize> = HashMap::new();
     // As many blocks as there are controllers share a large zone evenly.
     let mut k = 0;
     while out.len() < n {
@@ -238,7 +299,6 @@
                 if !more {
                     break;
                 }
-                sleep(Duration::from_secs_f64(1.5 / node.settings.site.cloud.rps)).await;
             }
             Err(error) => {
                 tracing::debug!(%error, "no machine list");
@@ -255,6 +315,7 @@
         let skew = node.settings.site.skew_ms as u64 + 2000;
         let mut ops = Vec::new();
         let mut failed = Vec::new();
+        let mut added = HashMap::new();
         // The list is late: a machine just deleted may still be on it.
         let lag = node.settings.site.cloud.list_lag_s;
         let mut memory = lock(&node.leading);
@@ -275,7 +336,7 @@
                     || (listed.age_s > 2.0 * lag && !expected(listed.age_s)) =>
                 {
                     // Unexpected: a rental that came late. It is returned.
-                    let blocks = blocks_for(node, &view, &listed.zone, 1);
+                    let blocks = blocks_for(node, &view, &listed.zone, 1, &mut added);
                     let Some(block) = blocks.into_iter().next() else {
                         continue;
                     };
--- a/crates/rushwalk/src/fleet.rs
+++ b/crates/rushwalk/src/fleet.rs
@@ -9,12 +9,14 @@
 use crate::meter::Work;
 use crate::node::{Node, lock, now_ms};
 use expecting::spare;
+pub use machines::kind_of;
 use machines::{machines, scarcity};
 use placing::{assign, assigned, overdue, waiting};
 use rushwalk_plan::round::{Decisions, Round, Waiting};
 use rushwalk_wire::records::{Op, Stage, Types};
-use sizing::{EMPTIED, idle, rent, shrink};
+use sizing::{EMPTIED, idle, lack, rent, shrink};
 use std::collections::BTreeMap;
+use std::time::Duration;
 use tokio::task::yield_now;
 use tokio::time::Instant;
 
@@ -26,7 +28,7 @@
 const AT_ONCE: usize = 16;
 
 /// One round of placing and sizing.
-pub async fn plan(node: &Node) -> Vec<Op> {
+pub async fn plan(node: &Node, version: u64) -> Vec<Op> {
     let now = now_ms();
     let (mut round, waiting, types) = {
         let _turn = node.meter.turn(Work::Place);
@@ -34,8 +36,8 @@
         let Some(types) = view.types.clone() else {
             return Vec::new();
         };
-        let memory = lock(&node.leading);
-        let mut round = machines(node, &view, &memory, &types, now);
+        let mut memory = lock(&node.leading);
+        let mut round = machines(node, &view, &mut memory, &types, now);
         assigned(&view, &types, &mut round);
         let mut waiting = waiting(&mut view, now, node, &types);
         let scarce = scarcity(&view, &memory, &types);
@@ -83,8 +85,24 @@
         }
         due
     };
+    // Calls until the next round, which comes the later the longer this one took.
+    let calls = |node: &Node| {
+        let span = node
+            .times
+            .round
+            .max(Duration::from_millis(now_ms().saturating_sub(now)));
+        (node.cloud.rate() * span.as_secs_f64()).ceil() as usize
+    };
+    let waiting = round.slots.len();
     if !due {
-        ops.extend(rent(&round, &types, now));
+        let mut memory = lock(&node.leading);
+        lack(&round, &types, waiting, false, &mut memory.lacking);
+        ops.extend(rent(
+            &mut memory,
+            (version, node.uptime()),
+            calls(node),
+            now,
+        ));
         return ops;
     }
     let expected = {
@@ -131,7 +149,7 @@
         };
         if again {
             // Not without them: planned once more, with all.
-            round.slots = before;
+            round.restore(before);
             (0..round.slots.len()).for_each(|i| round.slots.close(i, false));
             closed.clear();
             lock(&node.leading).late = expect(node, &mut round, &expected).await;
@@ -140,9 +158,10 @@
         lock(&node.leading).late = late;
     }
     let _turn = node.meter.turn(Work::Size);
-    let rent = rent(&round, &types, now);
     let view = node.view();
     let mut memory = lock(&node.leading);
+    lack(&round, &types, waiting, true, &mut memory.lacking);
+    let rent = rent(&mut memory, (version, node.uptime()), calls(node), now);
     ops.extend(idle(&view, &mut memory, &round));
     if !closed.is_empty() {
         tracing::info!(machines = ?closed, "machines emptied");
--- a/crates/rushwalk/src/fleet/machines.rs
+++ b/crates/rushwalk/src/fleet/machines.rs
@@ -5,19 +5,20 @@
 use crate::slots;
 use crate::view::{Name, View};
 use rushwalk_plan::Amount;
+use rushwalk_plan::market::Kind;
 use rushwalk_plan::quota::Usage;
 use rushwalk_plan::round::{Offer, Round};
 use rushwalk_plan::slot::Slot;
 use rushwalk_plan::slots::Slots;
-use rushwalk_wire::records::{Stage, Types};
+use rushwalk_wire::cloud::MAX_RENT;
+use rushwalk_wire::records::{Rental, Stage, Types};
 use std::collections::BTreeMap;
-use tokio::time::Instant;
 
 /// The machines there are, and those under way.
 pub fn machines<'a>(
     node: &'a Node,
     view: &View,
-    memory: &LeaderMemory,
+    memory: &mut LeaderMemory,
     types: &Types,
     now: u64,
 ) -> Round<'a> {
@@ -27,7 +28,7 @@
         now: seconds,
         clock: seconds,
         slots: Slots::new(seconds, view.machines.len() + 64),
-        offers: offers(view, memory, types, &zones, seconds),
+        offers: offers(view, memory, types, &zones, seconds, node.uptime()),
         zones,
         teams: &node.settings.site.teams,
         usage: Usage::default(),
@@ -61,14 +62,15 @@
 /// Booting takes this many times the nominal boot time.
 const BOOT: f64 = 1.1;
 
-pub fn offers(
+/// What may be rented now, and how much of it.
+fn offers(
     view: &View,
-    memory: &LeaderMemory,
+    memory: &mut LeaderMemory,
     types: &Types,
     zones: &[Name],
     seconds: f64,
+    uptime: f64,
 ) -> Vec<Offer> {
-    let now = Instant::now();
     // Machines of ours in each zone, and how many of them are silent.
     let mut ours: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
     for (block, machines) in &view.blocks {
@@ -76,30 +78,41 @@
         there.0 += machines.len();
         there.1 += view.pulse(block).1;
     }
+    let have = view.by_kind();
     let mut out = Vec::new();
     for (group, kind) in types.types.iter().enumerate() {
-        for zone in &kind.zones {
-            let (all, silent) = ours.get(zone.as_str()).copied().unwrap_or_default();
+        for name in &kind.zones {
+            let (all, silent) = ours.get(name.as_str()).copied().unwrap_or_default();
             if silent > 2 && silent * 2 > all {
                 // A zone that is cut off: what is rented there is so too.
                 continue;
             }
+            let Some(zone) = zones.iter().position(|z| **z == **name) else {
+                continue;
+            };
             for spot in [true, false] {
                 if spot && kind.spot_price.is_none() {
                     continue;
                 }
-                let key = (kind.name.clone(), zone.clone(), spot);
-                let refused = memory.refused.get(&key);
-                if refused.is_some_and(|(until, _)| now < *until) {
+                let key = Kind {
+                    name: kind.name.as_str().into(),
+                    zone: zones[zone].clone(),
+                    spot,
+                };
+                let have = have.get(&key).copied().unwrap_or_default();
+                memory.market.seen(&key, have);
+                let asked = view.rentals.values().filter(|r| kind_of(r) == key);
+                let asked: u32 = asked.map(|r| r.count).sum();
+                let left = memory.market.room(&key, have + asked, uptime, MAX_RENT);
+                if left == 0 {
                     continue;
                 }
-                let Some(zone) = zones.iter().position(|z| **z == **zone) else {
-                    continue;
-                };
                 let ready = seconds + kind.boot_s * BOOT;
                 out.push(Offer {
                     slot: Slot::new("".into(), group, kind, zone, spot, ready),
                     ours: all,
+                    left,
+                    taken: 0,
                 });
             }
         }
@@ -107,6 +120,15 @@
     out
 }
 
+/// What a rental asks for.
+pub fn kind_of(rental: &Rental) -> Kind {
+    Kind {
+        name: rental.kind.as_str().into(),
+        zone: rental.zone.as_str().into(),
+        spot: rental.spot,
+    }
+}
+
 /// By how much dearer each group counts for each class. Where no zone has more
 /// of a kind to rent, its machines should serve those for whom another kind would
 /// be dearest: the others count them dearer by as much as they would lose less.
@@ -119,10 +141,12 @@
     let kinds = &types.types;
     let scarce = |group: usize, spot: bool| {
         let kind = &kinds[group];
-        let key = |zone: &String| (kind.name.clone(), zone.clone(), spot);
-        kind.zones
-            .iter()
-            .all(|z| memory.refused.contains_key(&key(z)))
+        let key = |zone: &String| Kind {
+            name: kind.name.as_str().into(),
+            zone: zone.as_str().into(),
+            spot,
+        };
+        kind.zones.iter().all(|z| memory.market.scarce(&key(z)))
     };
     let scarce: Vec<[bool; 2]> = (0..kinds.len())
         .map(|g| [scarce(g, false), scarce(g, true)])
--- a/crates/rushwalk/src/fleet/sizing.rs
+++ b/crates/rushwalk/src/fleet/sizing.rs
@@ -3,6 +3,7 @@
 use crate::leader::{LISTED, LeaderMemory, zone_of};
 use crate::slots;
 use crate::view::{Name, View};
+use rushwalk_plan::market::{self, Kind, Lack};
 use rushwalk_plan::round::{Round, Waiting};
 use rushwalk_plan::slot::Slot;
 use rushwalk_wire::cloud::MAX_RENT;
@@ -12,30 +13,62 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Rents what the round found lacking.
-pub fn rent(round: &Round, types: &Types, now: u64) -> Vec<Op> {
-    let mut wanted: BTreeMap<(usize, usize, bool), u32> = BTreeMap::new();
-    for slot in round.slots.iter().skip(round.rent_from) {
-        *wanted
-            .entry((slot.group, slot.zone, slot.spot))
-            .or_default() += 1;
+/// Machines that the round found lacking: those beyond `waiting` are for what is
+/// only expected. Not looked at in each round, so what was lacking for it last
+/// time still is, unless it was `sized` anew.
+pub fn lack(
+    round: &Round,
+    types: &Types,
+    waiting: usize,
+    sized: bool,
+    lacking: &mut BTreeMap<Kind, Lack>,
+) {
+    for lack in lacking.values_mut() {
+        lack.waiting = 0;
+        lack.all = if sized { 0 } else { lack.all };
+    }
+    let mut found: BTreeMap<Kind, Lack> = BTreeMap::new();
+    for (i, slot) in round.slots.iter().enumerate().skip(round.rent_from) {
+        let kind = Kind {
+            name: types.types[slot.group].name.as_str().into(),
+            zone: round.zones[slot.zone].clone(),
+            spot: slot.spot,
+        };
+        let lack = found.entry(kind).or_default();
+        lack.all += 1;
+        lack.waiting += u32::from(i < waiting);
     }
+    for (kind, now) in found {
+        let lack = lacking.entry(kind).or_default();
+        lack.waiting = now.waiting;
+        lack.all = lack.all.max(now.all);
+    }
+    lacking.retain(|_, lack| lack.all > 0);
+}
+
+/// Rents what is lacking, as far as there are calls for it until the next round.
+/// What was wished for beyond them used to stand in a queue of requests, many of
+/// them for kinds refused meanwhile, in front of what was needed by then.
+pub fn rent(
+    memory: &mut LeaderMemory,
+    (version, uptime): (u64, f64),
+    most: usize,
+    now: u64,
+) -> Vec<Op> {
+    let free = most.saturating_sub(memory.asking.len());
     let mut ops = Vec::new();
-    for ((kind, zone, spot), mut count) in wanted {
-        while count > 0 {
-            let some = count.min(MAX_RENT);
-            count -= some;
-            let rental = Rental {
-                kind: types.types[kind].name.clone(),
-                zone: round.zones[zone].to_string(),
-                spot,
-                count: some,
-                at: now,
-            };
-            tracing::info!(?rental, "renting");
-            let request = format!("r-{:x}", rand::random::<u64>());
-            ops.push(Op::Rent(request.into(), rental));
-        }
+    for (kind, count) in market::calls(&mut memory.lacking, free, MAX_RENT) {
+        let rental = Rental {
+            kind: kind.name.to_string(),
+            zone: kind.zone.to_string(),
+            spot: kind.spot,
+            count,
+            at: now,
+        };
+        tracing::info!(?rental, "renting");
+        let request: Name = format!("r-{:x}", rand::random::<u64>()).into();
+        memory.unsent.insert(request.clone(), (version, uptime));
+        ops.push(Op::Rent(request, rental));
     }
     ops
 }
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -8,6 +8,7 @@
 use crate::slots;
 use crate::view::{JobRow, Name, TaskRow, View};
 use rushwalk_clients::state::Outcome;
+use rushwalk_plan::market::{Kind, Lack, Market};
 use rushwalk_wire::jobs::Shape;
 use rushwalk_wire::records::{self as rec, LEADER, Machine, Op, Phase, Stage, StopWhy};
 use rushwalk_wire::state::Transaction;
@@ -23,8 +24,10 @@
     /// A commit of ours was not answered: it may come late, until the leader
     /// key is rewritten.
     pub uncertain: bool,
-    /// Kinds of machine that were refused: until when, and how often in a row.
-    pub refused: HashMap<(String, String, bool), (Instant, u32)>,
+    /// What is known of what can be rented.
+    pub market: Market,
+    /// Machines found lacking that no call was made for as yet.
+    pub lacking: BTreeMap<Kind, Lack>,
     pub idle: HashMap<Name, Instant>,
     pub waits: BTreeMap<String, &'static str>,
     /// When a machine was last emptied for want of use.
@@ -42,6 +45,10 @@
     pub restarted: BTreeSet<(Name, u32)>,
     /// Rentals whose request is under way.
     pub asking: BTreeSet<Name>,
+    /// Rentals that were never asked for, with the leader key's version under
+    /// which they were written (nobody else can have asked for them either) and
+    /// the time by our uptime.
+    pub unsent: BTreeMap<Name, (u64, f64)>,
     /// Deleted machines, which the late list still shows for a while.
     pub gone: HashMap<Name, Instant>,
 }
@@ -136,7 +143,7 @@
     if !leads(node) {
         return;
     }
-    ops = fleet::plan(node).await;
+    ops = fleet::plan(node, version).await;
     append(node, version, &ops, For::Work).await;
 }
 
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -120,7 +120,9 @@
         tokio::spawn(crate::holder::fence_loop(node.clone())),
         tokio::spawn(crate::leader::leader_loop(node.clone())),
         tokio::spawn(crate::leader::lend_loop(node.clone())),
-        tokio::spawn(crate::cloud::cloud_loop(node.clone())),
+        tokio::spawn(crate::cloud::rent_loop(node.clone())),
+        tokio::spawn(crate::cloud::return_loop(node.clone())),
+        tokio::spawn(crate::cloud::list_loop(node.clone())),
         tokio::spawn(crate::snapshot::snapshot_loop(node.clone())),
         tokio::spawn(crate::mesh::hello_loop(node.clone())),
         tokio::spawn(tell_loop(node.clone())),
@@ -154,7 +156,7 @@
         Ok(Arc::new(Node {
             nonce: rand::random::<u64>() >> 12,
             state: State::new(http.clone(), state),
-            cloud: Cloud::new(http.clone(), cloud),
+            cloud: Cloud::new(http.clone(), cloud, settings.site.cloud.rps),
             workers: Workers::new(http.clone()),
             mesh: Mesh::new(http),
             view: Mutex::new(View::new(averages)),
@@ -193,6 +195,11 @@
         (tenths(self.started.elapsed()), tenths(busy))
     }
 
+    /// Seconds since the start, by the steady clock.
+    pub fn uptime(&self) -> f64 {
+        self.started.elapsed().as_secs_f64()
+    }
+
     pub fn poke(&self) {
         self.changed.send_modify(|n| *n += 1);
     }
--- a/crates/rushwalk/src/view.rs
+++ b/crates/rushwalk/src/view.rs
@@ -8,6 +8,7 @@
 
 mod apply;
 
+use rushwalk_plan::market::Kind;
 use rushwalk_plan::predict::{Averages, Rolling};
 use rushwalk_plan::slot::ImageId;
 use rushwalk_wire::jobs::{JobSpec, JobState, Priority, Stance};
@@ -354,6 +355,21 @@
         (task.task.attempt == attempt).then_some(task)
     }
 
+    /// How many machines of each kind there are.
+    pub fn by_kind(&self) -> BTreeMap<Kind, u32> {
+        let mut out = BTreeMap::new();
+        for row in self.machines.values() {
+            let m = &row.machine;
+            let kind = Kind {
+                name: m.kind.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+            };
+            *out.entry(kind).or_default() += 1;
+        }
+        out
+    }
+
     /// Of a block's machines, how many are up, and how many of those silent.
     pub fn pulse(&self, block: &str) -> (usize, usize) {
         self.pulse.get(block).copied().unwrap_or_default()
