--- a/crates/plan/src/round.rs
+++ b/crates/plan/src/round.rs
@@ -108,6 +108,12 @@
     pub waits: Vec<(String, &'static str)>,
 }
 
+impl Decisions {
+    pub fn is_empty(&self) -> bool {
+        self.placed.is_empty() && self.waits.is_empty()
+    }
+}
+
 /// A machine that could take the next task of a job.
 struct Candidate {
     span: i64,
--- a/crates/rushwalk/src/days.rs
+++ b/crates/rushwalk/src/days.rs
@@ -35,9 +35,11 @@
     gpus: f64,
     /// Changes a second that the state service takes, likewise.
     write_rps: f64,
+    /// Calls a second that the cloud takes, likewise.
+    cloud_rps: f64,
 }
 
-fn settings(i: usize, gpus: f64, write_rps: f64) -> Settings {
+fn settings(i: usize, gpus: f64, write_rps: f64, cloud_rps: f64) -> Settings {
     let mut settings = Settings::parse(SETTINGS).unwrap();
     let me = format!("node-{i}");
     settings.zone = ZONES[i].into();
@@ -50,6 +52,7 @@
     settings.member = me;
     settings.site.teams[0].gpus_max = gpus;
     settings.site.state.write_rps = write_rps;
+    settings.site.cloud.rps = cloud_rps;
     settings
 }
 
@@ -68,6 +71,7 @@
             jobs: BTreeMap::new(),
             gpus: 20.0,
             write_rps: 50.0,
+            cloud_rps: 8.0,
         };
         for i in 0..3 {
             day.start(i);
@@ -83,7 +87,7 @@
             alive: alive.clone(),
         };
         let node = Node::new(
-            settings(i, self.gpus, self.write_rps),
+            settings(i, self.gpus, self.write_rps, self.cloud_rps),
             Http::over(Arc::new(link)),
         )
         .unwrap();
@@ -421,6 +425,33 @@
     day.check();
 }
 
+/// Requests for what had run out stood in front of those for what could be had:
+/// at twice a fleet's size three calls of four brought nothing, and the machines
+/// that were there came minutes late.
+#[tokio::test(start_paused = true)]
+async fn calls_go_to_where_machines_are() {
+    let mut day = Day::new(13);
+    day.world.rules().limits.insert("red".into(), 4000.0);
+    (0..3).for_each(|i| day.crash(i));
+    (day.gpus, day.cloud_rps) = (4000.0, 2.0);
+    (0..3).for_each(|i| day.start(i));
+    day.world.limit("east", 10);
+    day.world.limit("west", 10);
+    day.pass(10).await;
+    for n in 0..12 {
+        day.submit(n, "standing", 150, 1.0, 0.0).await;
+    }
+    day.pass(45).await;
+    let (brought, nothing) = day.world.rentals();
+    let machines = day.world.workers().len();
+    assert!(machines >= 450, "{machines} machines by {brought} calls");
+    assert!(
+        nothing <= 4,
+        "{nothing} calls brought nothing, {brought} did"
+    );
+    day.check();
+}
+
 /// After a snapshot the log's keys are used again: whoever starts then must know
 /// all that went before, and tasks must run on.
 #[tokio::test(start_paused = true)]
--- a/crates/rushwalk/src/fleet.rs
+++ b/crates/rushwalk/src/fleet.rs
@@ -20,8 +20,8 @@
 use tokio::task::yield_now;
 use tokio::time::Instant;
 
-/// Tasks planned in a round, for all jobs and for one; the rest comes next.
-const PLANNED: usize = 3000;
+/// Tasks of one job planned in a round, at least; as many as there are machines
+/// on a larger fleet. The rest comes next.
 const PLANNED_EACH: usize = 160;
 /// Jobs planned before the others on this thread have their turn. On a busy
 /// thread a turn comes late, so a round must not take many.
@@ -48,7 +48,11 @@
     };
     let mut decisions = Decisions::default();
     let mut rest = &waiting[..];
-    while !rest.is_empty() {
+    // The plan ends when its time is over, not after so many tasks: 3,000 were all
+    // that waited on one fleet, and a third of it on one four times as large, so
+    // that nothing was rented for the others.
+    let began = Instant::now();
+    while !rest.is_empty() && (began.elapsed() < node.times.round || decisions.is_empty()) {
         let mut turn = node.meter.turn(Work::Place);
         let started = Instant::now();
         let mut done = 0;
--- a/crates/rushwalk/src/fleet/placing.rs
+++ b/crates/rushwalk/src/fleet/placing.rs
@@ -1,6 +1,6 @@
 //! What waits, in its order, and what becomes of it.
 
-use super::{PLANNED, PLANNED_EACH};
+use super::PLANNED_EACH;
 use crate::leader::{LISTED, LeaderMemory, zone_of};
 use crate::node::Node;
 use crate::slots;
@@ -99,7 +99,7 @@
             .then(a.2.cmp(&b.2))
     });
     let mut out: Vec<Waiting> = Vec::new();
-    let mut planned = 0;
+    let each = PLANNED_EACH.max(view.machines.len());
     for (_, _, _, uid) in order {
         let Some(job) = view.jobs.get(&uid) else {
             continue;
@@ -116,7 +116,7 @@
         }
         let most = match spec.shape {
             Shape::Gang => spec.tasks as usize,
-            _ => PLANNED_EACH,
+            _ => each,
         };
         let mut waiting = slots::waiting(view, &spec, types);
         for t in job.tasks.values() {
@@ -134,11 +134,7 @@
         if waiting.indexes.is_empty() {
             continue;
         }
-        planned += waiting.indexes.len();
         out.push(waiting);
-        if planned > PLANNED {
-            break;
-        }
     }
     out
 }
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -54,6 +54,10 @@
     faults: Mutex<HashSet<Fault>>,
     asked: Mutex<HashMap<String, Vec<String>>>,
     random: Mutex<SmallRng>,
+    /// Machines that a zone has, where that is limited.
+    room: Mutex<HashMap<String, usize>>,
+    /// Rental requests that brought machines, and that brought none.
+    rentals: Mutex<(usize, usize)>,
     /// When workers were asked for their reports at their own addresses.
     asked_at: Mutex<Vec<Instant>>,
     lease: Duration,
@@ -80,6 +84,8 @@
             faults: Mutex::default(),
             asked: Mutex::default(),
             random: Mutex::new(SmallRng::seed_from_u64(seed)),
+            room: Mutex::default(),
+            rentals: Mutex::default(),
             asked_at: Mutex::default(),
             lease,
             report,
@@ -92,6 +98,16 @@
         lock(&self.store).writes
     }
 
+    /// From now on a zone has so many machines at most.
+    pub fn limit(&self, zone: &str, machines: usize) {
+        lock(&self.room).insert(zone.into(), machines);
+    }
+
+    /// Rental requests so far that brought machines, and that brought none.
+    pub fn rentals(&self) -> (usize, usize) {
+        *lock(&self.rentals)
+    }
+
     /// The most workers that were asked for their reports within a span of time.
     pub fn asked_within(&self, span: Duration) -> usize {
         let asked = lock(&self.asked_at);
@@ -278,6 +294,14 @@
                 };
                 let known = lock(&self.asked).get(&request.request).cloned();
                 let names = known.unwrap_or_else(|| self.boot(&request));
+                {
+                    let mut rentals = lock(&self.rentals);
+                    rentals.0 += usize::from(!names.is_empty());
+                    rentals.1 += usize::from(names.is_empty());
+                }
+                if names.is_empty() {
+                    return (503, text(json!({"error": "no capacity"})));
+                }
                 lock(&self.asked).insert(request.request, names.clone());
                 (200, text(json!({ "rigs": names })))
             }
@@ -288,7 +312,10 @@
     fn boot(self: &Arc<Self>, request: &RentRequest) -> Vec<String> {
         let mut workers = self.workers();
         let mut names = Vec::new();
-        for _ in 0..request.count {
+        let there = workers.iter().filter(|w| w.zone == request.zone && !w.dead);
+        let room = lock(&self.room).get(&request.zone).copied();
+        let room = room.map_or(usize::MAX, |all| all.saturating_sub(there.count()));
+        for _ in 0..room.min(request.count as usize) {
             let index = workers.len();
             let name = format!("i-{index:06}");
             workers.push(Worker {
