Blocks shared by load; write shares that grow; a large commit is not starved

Cause: on seven controllers two held no block to speak of, since blocks went to the first controller of their zone.

Change: plan::blocks lends by load (leading counts for half a share), at home where that leaves a controller at most 1.25 times the mean, one voluntary move a round. Blocks are smaller with more controllers. A budget takes a large amount as soon as a small one would go, and those behind it wait; membership, lead and grants go first; a share of the changes grows with each success and falls back when the service says 429, in place of an equal cut times 1.2. A holder of more blocks than conditions fit writes in parts. A move counts as made only when it was committed.

Ruled out: shares told over the mesh (nothing may rely on it); moving blocks whose machines are silent (their leases would have to run out anew).

--- a/crates/clients/src/cloud.rs
+++ b/crates/clients/src/cloud.rs
@@ -37,7 +37,7 @@
         Cloud {
             http,
             address,
-            budget: Mutex::new(Budget::new(rate, rps.max(1.0), Instant::now())),
+            budget: Mutex::new(Budget::new(rate, Instant::now())),
             rate,
         }
     }
--- /dev/null
+++ b/crates/plan/src/blocks.rs
@@ -0,0 +1,261 @@
+//! Which controller each block of machines is lent to.
+//!
+//! A block is best held in its own zone: behind a cut its holder still reaches it.
+//! But a controller has room for so many workers, so a zone with more machines than
+//! its share lends some of its blocks to controllers elsewhere, and several
+//! controllers of a zone share its blocks.
+
+/// A controller that lives.
+#[derive(Debug, Clone)]
+pub struct Member<'a> {
+    pub name: &'a str,
+    pub zone: &'a str,
+    /// It has been here for a while: one that has just come back may go again.
+    pub settled: bool,
+    /// What it does beside holding blocks, in machines held.
+    pub extra: usize,
+}
+
+#[derive(Debug, Clone)]
+pub struct Block<'a> {
+    pub zone: &'a str,
+    pub machines: usize,
+    /// Its holder, by its place among the members; none if that is gone.
+    pub holder: Option<usize>,
+    /// Some of its machines are silent: a new holder would have to wait anew for
+    /// their leases to run out, so only need moves it.
+    pub quiet: bool,
+    /// Its holder hears nothing of most of its machines, for the first time while
+    /// their leases last: another may reach them.
+    pub cut: bool,
+}
+
+/// A block goes to its own zone if that leaves a controller at most so many times
+/// the mean, and leaves one that is above `OVER` times the mean.
+const HOME: f64 = 1.25;
+const OVER: f64 = 1.5;
+
+/// Blocks to lend, by their places, and to whom: those that nobody holds or whose
+/// holder is cut off from them, and if `more` one that is better off elsewhere.
+pub fn lend(members: &[Member], blocks: &[Block], more: bool) -> Vec<(usize, usize)> {
+    if members.is_empty() {
+        return Vec::new();
+    }
+    let mut load: Vec<usize> = members.iter().map(|m| m.extra).collect();
+    for block in blocks {
+        if let Some(holder) = block.holder {
+            load[holder] += block.machines;
+        }
+    }
+    let all: usize = blocks.iter().map(|b| b.machines).sum();
+    let extra: usize = members.iter().map(|m| m.extra).sum();
+    let mean = (all + extra) as f64 / members.len() as f64;
+    let mut out = Vec::new();
+    // Large ones first: small ones fill the gaps.
+    let mut order: Vec<usize> = (0..blocks.len()).collect();
+    order.sort_by_key(|i| (std::cmp::Reverse(blocks[*i].machines), *i));
+    for &i in &order {
+        let block = &blocks[i];
+        let to = match block.holder {
+            Some(holder) if block.cut => least(&load, |m| m != holder),
+            Some(_) => continue,
+            None => {
+                let at_home = |m: usize| members[m].zone == block.zone;
+                let room = |m: usize| (load[m] + block.machines) as f64 <= HOME * mean;
+                // A small site has one block a zone: larger than a share, and
+                // still best at home.
+                let home = least(&load, |m| at_home(m) && (room(m) || load[m] == 0));
+                home.or_else(|| least(&load, |_| true))
+            }
+        };
+        let Some(to) = to else { continue };
+        if let Some(holder) = block.holder {
+            load[holder] -= block.machines;
+        }
+        load[to] += block.machines;
+        out.push((i, to));
+    }
+    if out.is_empty() && more {
+        out.extend(better(members, blocks, &order, &load, mean));
+    }
+    out
+}
+
+fn least(load: &[usize], of: impl Fn(usize) -> bool) -> Option<usize> {
+    let all = (0..load.len()).filter(|m| of(*m));
+    all.min_by_key(|m| load[*m])
+}
+
+/// One block that is better off elsewhere: away from a controller with too much,
+/// or back to its own zone where there is room.
+fn better(
+    members: &[Member],
+    blocks: &[Block],
+    order: &[usize],
+    load: &[usize],
+    mean: f64,
+) -> Option<(usize, usize)> {
+    let settled = |m: usize| members[m].settled;
+    let mut best: Option<(usize, usize, usize)> = None;
+    for &i in order {
+        let block = &blocks[i];
+        let (Some(from), false) = (block.holder, block.quiet || block.machines == 0) else {
+            continue;
+        };
+        if load[from] as f64 <= OVER * mean {
+            continue;
+        }
+        let Some(to) = least(load, |m| m != from && settled(m)) else {
+            continue;
+        };
+        // It must end well below where it began, or it would be moved back.
+        let after = load[to] + block.machines;
+        if after + block.machines / 2 >= load[from] {
+            continue;
+        }
+        // Of the most loaded controller; first what is not at home there.
+        let rank = load[from] * 2 + usize::from(members[from].zone != block.zone);
+        if best.is_none_or(|(r, ..)| rank > r) {
+            best = Some((rank, i, to));
+        }
+    }
+    if let Some((_, i, to)) = best {
+        return Some((i, to));
+    }
+    order.iter().find_map(|&i| {
+        let block = &blocks[i];
+        let from = block.holder?;
+        if members[from].zone == block.zone || block.quiet {
+            return None;
+        }
+        let at_home = |m: usize| members[m].zone == block.zone && settled(m);
+        let to = least(load, at_home)?;
+        let after = (load[to] + block.machines) as f64;
+        (after <= HOME * mean || load[to] <= members[to].extra).then_some((i, to))
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ZONES: [&str; 3] = ["east", "west", "north"];
+
+    fn member(name: &'static str, zone: usize) -> Member<'static> {
+        Member {
+            name,
+            zone: ZONES[zone],
+            settled: true,
+            extra: 0,
+        }
+    }
+
+    fn block(zone: usize, machines: usize, holder: Option<usize>) -> Block<'static> {
+        Block {
+            zone: ZONES[zone],
+            machines,
+            holder,
+            quiet: false,
+            cut: false,
+        }
+    }
+
+    /// Lends until nothing changes; how many moves that took after the first.
+    fn settle(members: &[Member], blocks: &mut [Block]) -> usize {
+        for moves in 0..100 {
+            let lent = lend(members, blocks, true);
+            if lent.is_empty() {
+                return moves;
+            }
+            for (i, to) in lent {
+                blocks[i].holder = Some(to);
+            }
+        }
+        panic!("it never settles: {blocks:?}");
+    }
+
+    fn loads(members: &[Member], blocks: &[Block]) -> Vec<usize> {
+        let of = |m: usize| blocks.iter().filter(move |b| b.holder == Some(m));
+        let sum = |m: usize| of(m).map(|b| b.machines).sum::<usize>() + members[m].extra;
+        (0..members.len()).map(sum).collect()
+    }
+
+    /// With seven controllers two held no block to speak of, because each zone's
+    /// went to the first controller there.
+    #[test]
+    fn seven_controllers_in_three_zones_share_the_load() {
+        let mut members: Vec<_> = (0..7).map(|n| member("m", n % 3)).collect();
+        members[4].extra = 200;
+        let zones = [596, 1312, 2267];
+        let mut blocks = Vec::new();
+        for (zone, all) in zones.into_iter().enumerate() {
+            let parts = (0..all).step_by(110).map(|at| 110.min(all - at));
+            blocks.extend(parts.map(|n| block(zone, n, None)));
+        }
+        settle(&members, &mut blocks);
+        let loads = loads(&members, &blocks);
+        let mean = loads.iter().sum::<usize>() / 7;
+        let within = loads.iter().all(|n| *n < mean * 3 / 2 && *n > mean * 2 / 3);
+        assert!(within, "{loads:?}, mean {mean}");
+    }
+
+    #[test]
+    fn a_small_sites_blocks_are_at_home_and_stay_there() {
+        let members: Vec<_> = (0..3).map(|n| member("m", n)).collect();
+        let mut blocks: Vec<_> = [5, 30, 8]
+            .into_iter()
+            .enumerate()
+            .collect::<Vec<_>>()
+            .into_iter()
+            .map(|(zone, n)| block(zone, n, None))
+            .collect();
+        assert_eq!(settle(&members, &mut blocks), 1);
+        let home = blocks
+            .iter()
+            .all(|b| members[b.holder.unwrap()].zone == b.zone);
+        assert!(home, "{blocks:?}");
+    }
+
+    #[test]
+    fn who_comes_back_gets_its_zone_when_it_has_settled_and_no_block_that_is_quiet() {
+        let mut members: Vec<_> = (0..3).map(|n| member("m", n)).collect();
+        let mut blocks = vec![
+            block(0, 100, Some(1)),
+            block(1, 100, Some(1)),
+            block(2, 100, Some(2)),
+        ];
+        members[0].settled = false;
+        assert!(lend(&members, &blocks, true).is_empty());
+        members[0].settled = true;
+        (blocks[0].quiet, blocks[1].quiet) = (true, true);
+        assert!(lend(&members, &blocks, true).is_empty());
+        (blocks[0].quiet, blocks[1].quiet) = (false, false);
+        assert!(lend(&members, &blocks, false).is_empty(), "not so soon");
+        assert_eq!(lend(&members, &blocks, true), [(0, 0)]);
+        // Need goes before order: to whoever has least, wherever it is.
+        blocks[2].cut = true;
+        members[0].settled = false;
+        assert_eq!(lend(&members, &blocks, true), [(2, 0)]);
+    }
+
+    /// A zone with most of the machines lends some to controllers elsewhere, and
+    /// what it lends does not come back at once.
+    #[test]
+    fn a_zone_with_more_than_its_share_lends_some_away() {
+        let mut members: Vec<_> = (0..3).map(|n| member("m", n)).collect();
+        members[2].extra = 280;
+        let mut blocks = vec![
+            block(0, 238, None),
+            block(1, 256, None),
+            block(1, 256, None),
+            block(1, 13, None),
+            block(2, 256, None),
+            block(2, 256, None),
+            block(2, 256, None),
+            block(2, 139, None),
+        ];
+        assert!(settle(&members, &mut blocks) < 6);
+        let loads = loads(&members, &blocks);
+        assert!(loads.iter().all(|n| *n < 900), "{loads:?}");
+    }
+}
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -1,6 +1,7 @@
 //! The decisions, as plain functions: no I/O, time is an argument.
 
 pub mod amount;
+pub mod blocks;
 pub mod fleet;
 pub mod market;
 pub mod predict;
--- a/crates/rushwalk/src/cloud.rs
+++ b/crates/rushwalk/src/cloud.rs
@@ -250,8 +250,11 @@
 }
 
 /// Machines of a block: large enough that few grants cover the fleet, small
-/// enough that a lost controller's machines can be shared out.
-const BLOCK: usize = 256;
+/// enough that a lost controller's machines can be shared out, and that more
+/// controllers have more blocks to share.
+fn block_size(nodes: usize) -> usize {
+    (768 / nodes.max(3)).max(32)
+}
 
 /// The zone's blocks with room, for `n` machines.
 fn blocks_for(
@@ -263,6 +266,7 @@
 ) -> Vec<Name> {
     let mut out = Vec::new();
     let nodes = 1 + node.settings.peers.len();
+    let whole = block_size(nodes);
     // As many blocks as there are controllers share a large zone evenly.
     let mut k = 0;
     while out.len() < n {
@@ -271,8 +275,8 @@
             k => format!("{zone}#{k}"),
         };
         let used = view.blocks.get(&*block).map_or(0, |b| b.len());
-        let room = BLOCK.saturating_sub(used + added.get(&block).copied().unwrap_or(0));
-        let take = room.min(n - out.len()).min(BLOCK / nodes);
+        let room = whole.saturating_sub(used + added.get(&block).copied().unwrap_or(0));
+        let take = room.min(n - out.len()).min(whole / nodes.min(3));
         *added.entry(block.clone()).or_default() += take;
         let block: Name = block.as_str().into();
         out.extend(std::iter::repeat_n(block, take));
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -43,7 +43,7 @@
         if all {
             looked = Some(Instant::now());
         }
-        let (conditions, ops) = {
+        let held = {
             let mut turn = node.meter.turn(Work::Hold);
             let mut view = node.view();
             let mut reports = lock(&node.reports);
@@ -70,23 +70,19 @@
                 known.clone_from(&held);
             }
             turn.looked_at(dirty.len());
-            let mut ops = outcomes(&node, &view, &mut reports, &held, &dirty);
-            ops.extend(placements(&node, &view, &held));
-            let conditions: Vec<_> = held.iter().map(|(b, t)| (rec::grant_key(b), *t)).collect();
-            (conditions, ops)
+            held
         };
-        if !ops.is_empty() {
-            match node.append(&conditions, &ops, For::Work).await {
-                Outcome::Done(_) => {}
-                outcome => {
-                    tracing::debug!(?outcome, "changes not committed");
-                    if let Outcome::Conflict = outcome {
-                        node.fresh(node.times.round).await;
-                    }
-                    looked = None;
-                    continue;
-                }
-            }
+        // All blocks in one entry, unless the conditions on their grants would be
+        // too many for it: one controller may be left with the blocks of nine.
+        let most = 2 * node.settings.site.state.txn_ops;
+        let held: Vec<_> = held.into_iter().collect();
+        let mut committed = true;
+        for some in held.chunks(most) {
+            committed &= decide(&node, some, &dirty).await;
+        }
+        if !committed {
+            looked = None;
+            continue;
         }
         let _turn = node.meter.turn(Work::Hold);
         dirty.append(&mut node.view().dirty);
@@ -94,6 +90,36 @@
     }
 }
 
+/// Commits what is decided and learnt of some blocks; false if it was not taken.
+async fn decide(node: &Node, blocks: &[(Name, u64)], dirty: &BTreeSet<Name>) -> bool {
+    let ops = {
+        let _turn = node.meter.turn(Work::Hold);
+        let view = node.view();
+        let mut reports = lock(&node.reports);
+        // Still ours, as far as is known by now.
+        let ours = |(b, t): &&(Name, u64)| node.token(&view, b) == Some(*t);
+        let held = blocks.iter().filter(ours).cloned().collect();
+        let mut ops = outcomes(node, &view, &mut reports, &held, dirty);
+        ops.extend(placements(node, &view, &held));
+        ops
+    };
+    if ops.is_empty() {
+        return true;
+    }
+    let conditions = blocks.iter().map(|(b, t)| (rec::grant_key(b), *t));
+    let conditions: Vec<_> = conditions.collect();
+    match node.append(&conditions, &ops, For::Work).await {
+        Outcome::Done(_) => true,
+        outcome => {
+            tracing::debug!(?outcome, "changes not committed");
+            if let Outcome::Conflict = outcome {
+                node.fresh(node.times.round).await;
+            }
+            false
+        }
+    }
+}
+
 /// Blocks that we hold, with their tokens.
 fn held(node: &Node, view: &View) -> BTreeMap<Name, u64> {
     view.grants
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -8,6 +8,7 @@
 use crate::slots;
 use crate::view::{JobRow, Name, TaskRow, View};
 use rushwalk_clients::state::Outcome;
+use rushwalk_plan::blocks::{self, Block, Member};
 use rushwalk_plan::market::{Kind, Lack, Market};
 use rushwalk_wire::jobs::Shape;
 use rushwalk_wire::records::{self as rec, LEADER, Machine, Op, Phase, Stage, StopWhy};
@@ -41,6 +42,8 @@
     pub late: usize,
     /// When a block was last taken from a holder that was cut off.
     moved: HashMap<Name, Instant>,
+    /// When a block was last moved for being better off elsewhere.
+    settled: Option<Instant>,
     /// Tasks restarted once because they were overdue.
     pub restarted: BTreeSet<(Name, u32)>,
     /// Rentals whose request is under way.
@@ -89,12 +92,18 @@
         };
         if let Some(version) = leading
             && !lock(&node.leading).uncertain
-            && let Some(txn) = {
+            && let Some((txn, needed)) = {
                 let _turn = node.meter.turn(Work::Lend);
                 lend(&node, version)
             }
         {
-            commit(&node, txn, For::Work).await;
+            if commit(&node, txn, For::Order).await {
+                let (now, mut memory) = (Instant::now(), lock(&node.leading));
+                match needed.is_empty() {
+                    true => memory.settled = Some(now),
+                    false => memory.moved.extend(needed.into_iter().map(|b| (b, now))),
+                }
+            }
             node.fresh(node.times.round).await;
         }
     }
@@ -147,88 +156,77 @@
     append(node, version, &ops, For::Work).await;
 }
 
-/// Lends blocks: to their zone's controller where it lives, else to the
-/// living one with the fewest machines.
-fn lend(node: &Node, version: u64) -> Option<Transaction> {
+/// Lends blocks that nobody holds, or whose holder is cut off from them, and one
+/// that is better off elsewhere. With those that had a holder and needed another.
+fn lend(node: &Node, version: u64) -> Option<(Transaction, Vec<Name>)> {
     let view = node.view();
-    // Every zone has a block, before its first machine.
-    let mut blocks: BTreeMap<Name, Name> = BTreeMap::new();
-    for zone in &node.settings.site.zones {
-        blocks.insert(zone.as_str().into(), zone.as_str().into());
-    }
-    for block in view.blocks.keys() {
-        blocks.insert(block.clone(), zone_of(block).into());
-    }
-    let size = |block: &str| 1 + view.blocks.get(block).map_or(0, BTreeSet::len);
-    let mut load: BTreeMap<&String, usize> = view.members.keys().map(|m| (m, 0)).collect();
-    for (block, (_, grant)) in &view.grants {
-        if let Some(n) = load.get_mut(&grant.holder) {
-            *n += size(block);
-        }
-    }
     let now = now_ms();
     // A member that has just come back gets its zone after a while only.
     let settled = node.times.member.as_millis() as u64;
-    let mut memory = lock(&node.leading);
+    let names: Vec<&String> = view.members.keys().collect();
+    // Leading takes about as much as half a share of the machines.
+    let share = view.machines.len() / names.len().max(1) / 2;
+    let members: Vec<Member> = (view.members.iter())
+        .map(|(name, m)| Member {
+            name,
+            zone: &m.zone,
+            settled: now > m.since_ms + settled,
+            extra: if name == node.me() { share } else { 0 },
+        })
+        .collect();
+    // Every zone has a block, before its first machine.
+    let zones = node.settings.site.zones.iter().map(|z| z.as_str().into());
+    let blocks: BTreeSet<Name> = zones.chain(view.blocks.keys().cloned()).collect();
+    let blocks: Vec<Name> = blocks.into_iter().collect();
+    let memory = lock(&node.leading);
+    let lately = |at: Option<&Instant>, span: Duration| at.is_some_and(|at| at.elapsed() < span);
+    let lent: Vec<Block> = (blocks.iter())
+        .map(|block| {
+            let grant = view.grants.get(block).map(|(_, g)| g);
+            let valid = grant.filter(|g| view.held(g));
+            // A holder that hears nothing of most of its machines is cut off from
+            // them. Only once while their leases last: if the next one hears
+            // nothing either, the machines are cut off, and each new holder would
+            // have to wait anew for their leases to run out.
+            let moved = lately(memory.moved.get(block), node.times.lease + node.times.loan);
+            Block {
+                zone: zone_of(block),
+                machines: view.blocks.get(block).map_or(0, BTreeSet::len),
+                holder: valid.and_then(|g| names.binary_search(&&g.holder).ok()),
+                quiet: view.pulse(block).1 > 0,
+                cut: valid.is_some() && !moved && mostly_silent(&view, block),
+            }
+        })
+        .collect();
+    // Each move leads a block's workers elsewhere: one at a time.
+    let more = !lately(memory.settled.as_ref(), node.times.round);
     let mut txn = Transaction::default().when(LEADER, version);
-    for (block, zone) in blocks {
+    let mut needed = Vec::new();
+    for (i, to) in blocks::lend(&members, &lent, more) {
         if txn.writes.len() >= node.settings.site.state.txn_ops {
             break;
         }
-        let grant = view.grants.get(&block);
-        let valid = grant.is_some_and(|(_, g)| view.held(g));
-        let at_home = grant
-            .and_then(|(_, g)| view.members.get(&g.holder))
-            .is_some_and(|m| *m.zone == *zone);
-        let home = view.members.iter().find(|(_, m)| *m.zone == *zone);
-        // A holder that hears nothing of most of its machines is cut off from
-        // them: another may reach them. Only once while their leases last:
-        // if that one hears nothing either, the machines are cut off, and each
-        // new holder would have to wait anew for their leases to run out.
-        let cut = valid && mostly_silent(&view, &block);
-        let lately = memory
-            .moved
-            .get(&block)
-            .is_some_and(|at| at.elapsed() < node.times.lease + node.times.loan);
-        let to = if cut && !lately {
-            let holder = grant.map(|(_, g)| &g.holder);
-            let others = view.members.keys().filter(|m| Some(*m) != holder);
-            let Some(to) = others.min_by_key(|m| load.get(m).copied().unwrap_or(0)) else {
-                continue;
-            };
-            to.clone()
-        } else if valid && cut {
-            continue;
-        } else {
-            match home {
-                Some((name, m)) if !valid || (!at_home && now > m.since_ms + settled) => {
-                    name.clone()
-                }
-                _ if valid => continue,
-                _ => match load.iter().min_by_key(|(_, n)| **n) {
-                    Some((name, _)) => name.to_string(),
-                    None => continue,
-                },
-            }
-        };
-        if let Some(n) = load.get_mut(&to) {
-            *n += size(&block);
-        }
-        let Some(member) = view.members.get(&to) else {
+        let (block, to) = (&blocks[i], members[to].name);
+        let Some(member) = view.members.get(to) else {
             continue;
         };
-        if grant.is_some() {
-            memory.moved.insert(block.clone(), Instant::now());
+        if (lent[i].cut || lent[i].holder.is_none()) && view.grants.contains_key(block) {
+            needed.push(block.clone());
         }
-        tracing::info!(block = &*block, to, "block lent");
-        let key = rec::grant_key(&block);
+        tracing::info!(
+            block = &**block,
+            to,
+            machines = lent[i].machines,
+            "block lent"
+        );
+        let key = rec::grant_key(block);
         let grant = rec::Grant {
-            holder: to,
+            holder: to.into(),
             nonce: member.nonce,
         };
         txn = txn.when(&key, view.version(&key)).put(&key, &grant);
     }
-    (!txn.writes.is_empty()).then_some(txn)
+    (!txn.writes.is_empty()).then_some((txn, needed))
 }
 
 /// So many jobs that fail on a machine, with none finishing in between, show that
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -105,6 +105,8 @@
 /// Whom a write serves: users' requests go before housekeeping.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum For {
+    /// Who is a member, leads, or holds a block: without that nothing goes on.
+    Order,
     Users,
     Work,
     Upkeep,
@@ -150,7 +152,7 @@
         let now = Instant::now();
         // All controllers share the limit; a tenth is left for misjudgement.
         let writes = 0.9 * settings.site.state.write_rps;
-        let share = writes / (1.0 + settings.peers.len() as f64) * 1.2;
+        let share = writes / (1.0 + settings.peers.len() as f64);
         let averages = Averages::new(10, 0.25 * settings.site.workers.report_s);
         let (users, queue) = mpsc::channel(1024);
         Ok(Arc::new(Node {
@@ -163,7 +165,7 @@
             reports: Mutex::default(),
             leading: Mutex::default(),
             peers: Mutex::default(),
-            write_budget: Mutex::new(Budget::new(share, share.max(4.0), now)),
+            write_budget: Mutex::new(Budget::shared(share, writes, now)),
             slots: Mutex::default(),
             users,
             users_queue: Mutex::new(Some(queue)),
@@ -306,7 +308,7 @@
                 let now = Instant::now();
                 // Upkeep leaves a part of the burst for users and placements.
                 let reserve = match whom {
-                    For::Users => 0.0,
+                    For::Order | For::Users => 0.0,
                     For::Work => 2.0,
                     For::Upkeep => 4.0,
                 };
@@ -324,6 +326,7 @@
         match &outcome {
             Outcome::Done(revision) => {
                 self.committed.fetch_max(*revision, Ordering::Relaxed);
+                lock(&self.write_budget).served();
             }
             Outcome::Refused(error) => {
                 if error.status() == Some(429) {
--- a/crates/rushwalk/src/sync.rs
+++ b/crates/rushwalk/src/sync.rs
@@ -202,7 +202,7 @@
             .when(&key, view.version(&key))
             .put_leased(&key, &member, lease)
     };
-    match node.commit(txn, For::Work).await {
+    match node.commit(txn, For::Order).await {
         Outcome::NoLease => *lock(&node.member_lease) = None,
         Outcome::Done(revision) => {
             node.reached(revision, node.times.round * 2).await;
@@ -244,7 +244,7 @@
             .put_leased(LEADER, &leader, lease)
     };
     lock(&node.leading).nonce = Some(nonce);
-    match node.commit(txn, For::Work).await {
+    match node.commit(txn, For::Order).await {
         Outcome::Done(revision) => {
             lock(&node.leading).uncertain = false;
             tracing::info!(revision, "leading");
