A gate before the public address; calls to workers bounded; sockets kept for our own

The server took as many connections as came, and on an error of accept asked again at once.

Change: gate.rs takes no more connections in one pass over what is ready than keep a pass under a sixteenth of a round, never more than seven eighths of the sockets, and pauses on errors. Commands to workers under way are at most a sixteenth of the sockets, questions to silent ones half of that, so that a cut zone's workers hold up neither.

--- a/crates/rushwalk/src/main.rs
+++ b/crates/rushwalk/src/main.rs
@@ -4,6 +4,7 @@
 mod api;
 mod cloud;
 mod fleet;
+mod gate;
 mod holder;
 mod leader;
 mod log;
@@ -22,6 +23,7 @@
 mod size;
 
 use clap::{Parser, Subcommand};
+use gate::{Gate, Limits};
 use node::Node;
 use poem::listener::TcpListener;
 use rushwalk_clients::Http;
@@ -144,19 +146,10 @@
     }
 }
 
-/// Connections kept for later: a sixteenth of the sockets, which leaves them and
-/// the memory to those who call. 0 means no limit.
-fn kept(sockets: f64) -> usize {
-    match sockets as usize {
-        0 => 256,
-        sockets => sockets.div_ceil(16),
-    }
-}
-
 async fn serve(settings: Settings) -> Result<(), String> {
     let public = settings.public_addr.clone();
     let mesh = settings.mesh_addr.clone();
-    let http = Http::new(kept(settings.site.limits.fd_limit));
+    let http = Http::new(node::kept(settings.site.limits.fd_limit));
     let node = Node::new(settings, http).map_err(|e| e.to_string())?;
     tracing::info!(member = node.me(), nonce = node.nonce, "started");
     let _loops = node::start(&node);
@@ -169,7 +162,11 @@
         // of all, refusing two thousand workers a second left no time to elect a
         // leader and to lend the blocks, for up to 14 s.
         let _ = tokio::time::timeout(node.times.member, node.settled()).await;
-        let listener = TcpListener::bind(public);
+        let limits = Limits {
+            open: node::taken(node.settings.site.limits.fd_limit),
+            pass: node.times.round / 16,
+        };
+        let listener = Gate::new(TcpListener::bind(public), limits);
         poem::Server::new(listener)
             .run(api::routes(node.clone()))
             .await
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -102,6 +102,23 @@
     1_000_000 + START.with(|s| s.elapsed().as_millis() as u64)
 }
 
+/// How the sockets are shared out: a sixteenth for connections kept for later, which
+/// leaves them and the memory to those who call; as many for calls to workers under
+/// way; the public address leaves an eighth free. 0 means no limit.
+pub fn kept(sockets: f64) -> usize {
+    match sockets as usize {
+        0 => 256,
+        sockets => sockets.div_ceil(16),
+    }
+}
+
+pub fn taken(sockets: f64) -> usize {
+    match sockets as usize {
+        0 => usize::MAX,
+        sockets => sockets - sockets / 8,
+    }
+}
+
 /// Whom a write serves: users' requests go before housekeeping.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum For {
@@ -159,7 +176,7 @@
             nonce: rand::random::<u64>() >> 12,
             state: State::new(http.clone(), state),
             cloud: Cloud::new(http.clone(), cloud, settings.site.cloud.rps),
-            workers: Workers::new(http.clone()),
+            workers: Workers::new(http.clone(), kept(settings.site.limits.fd_limit)),
             mesh: Mesh::new(http),
             view: Mutex::new(View::new(averages)),
             reports: Mutex::default(),
