Callers served newest first, idle sockets shed, planning gives way; recovery told

Change: load.rs tells when timers are late; while they are, few workers are asked, and planning leaves three quarters of the time to others. gate.rs takes all that wait, serves the newest first and lets go who has waited three rounds. seats.rs closes users' idle connections, then silent workers', when sockets run out, and what is silent for a lease at any time. What a plan places is committed before the fleet is sized. recovery.rs tells, in the log and by admin status, how long a trouble took and which causes it had.

Starts sent twice were suspected: few (some 5% of direct commands).

--- a/crates/rushwalk/src/admin.rs
+++ b/crates/rushwalk/src/admin.rs
@@ -77,6 +77,9 @@
         .map(|(why, jobs)| json!({"why": why, "jobs": jobs.len(), "first": &jobs[..jobs.len().min(NAMED)]}))
         .collect();
     let (up_s, busy_s) = node.busy();
+    let recovery = lock(&node.recovery);
+    let (trouble, last_trouble) = recovery.told();
+    let (connections, workers) = node.seats.count();
     let age = node.synced.borrow().map(|at| at.elapsed().as_secs_f64());
     answer(json!({"member": node.me(), "leads": leads,
         "leader": view.leader.as_ref().map(|(_, l)| l.member.clone()),
@@ -84,7 +87,9 @@
         "snapshot": {"at": view.base.at, "chunks": view.base.chunks, "entries_since": view.entries},
         "members": view.members.keys().collect::<Vec<_>>(),
         "grants": grants, "machines": machines,
-        "up_s": up_s, "busy_s": busy_s, "work": node.meter.told(), "rentals": view.rentals.len(), "jobs_active": view.active.len(),
+        "up_s": up_s, "busy_s": busy_s, "late_ms": node.load.late().as_millis() as u64,
+        "trouble": trouble, "last_trouble": last_trouble,
+        "connections": {"open": connections, "workers": workers}, "work": node.meter.told(), "rentals": view.rentals.len(), "jobs_active": view.active.len(),
         "jobs_live": view.live.len(), "waiting": waiting}))
 }
 
--- a/crates/rushwalk/src/api.rs
+++ b/crates/rushwalk/src/api.rs
@@ -5,7 +5,7 @@
 use crate::node::{Node, lock, now_ms};
 use crate::reports::{self, Reply};
 use poem::http::StatusCode;
-use poem::web::{Data, Path};
+use poem::web::{Data, Path, RemoteAddr};
 use poem::{Body, Endpoint, EndpointExt, IntoResponse, Response, Route, get, handler, post};
 use rushwalk_clients::state::Outcome;
 use rushwalk_plan::quota::can_ever_run;
@@ -16,6 +16,7 @@
 use rushwalk_wire::worker::{Elsewhere, Report};
 use serde::Serialize;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
 
@@ -56,6 +57,7 @@
 
 /// Refused for want of changes: come back when the budget will have some.
 fn too_many(node: &Node) -> Response {
+    node.refused.fetch_add(1, Ordering::Relaxed);
     let wait = lock(&node.write_budget).wait(1.0, 0.0, Instant::now());
     refuse_until(StatusCode::TOO_MANY_REQUESTS, "too many requests", wait)
 }
@@ -66,6 +68,12 @@
     refuse_until(StatusCode::SERVICE_UNAVAILABLE, why, node.times.round / 4)
 }
 
+/// The same to a user.
+fn unserved(node: &Node, why: &str) -> Response {
+    node.refused.fetch_add(1, Ordering::Relaxed);
+    not_now(node, why)
+}
+
 pub async fn bytes(body: Body) -> Result<Vec<u8>, Response> {
     match body.into_bytes_limit(MAX_BODY).await {
         Ok(bytes) => Ok(bytes.to_vec()),
@@ -136,7 +144,7 @@
             .status(StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY))
             .content_type("application/json")
             .body(answer.body),
-        None => not_now(node, "the state service does not answer"),
+        None => unserved(node, "the state service does not answer"),
     }
 }
 
@@ -239,7 +247,7 @@
         true => node.view().state_of(uid),
         false => match mesh::ask_peers(node, uid).await {
             Some(answer) => answer.state,
-            None => return not_now(node, "the state service does not answer"),
+            None => return unserved(node, "the state service does not answer"),
         },
     };
     let mut turn = node.meter.turn(Work::User);
@@ -294,7 +302,8 @@
 }
 
 #[handler]
-async fn beat(body: Body, node: Data<&Arc<Node>>) -> Response {
+async fn beat(body: Body, from: &RemoteAddr, node: Data<&Arc<Node>>) -> Response {
+    node.seats.worker(from);
     let body = match bytes(body).await {
         Ok(body) => body,
         Err(response) => return response,
--- a/crates/rushwalk/src/fleet.rs
+++ b/crates/rushwalk/src/fleet.rs
@@ -6,8 +6,9 @@
 mod placing;
 mod sizing;
 
+use crate::leader::append;
 use crate::meter::Work;
-use crate::node::{Node, lock, now_ms};
+use crate::node::{For, Node, lock, now_ms};
 use expecting::spare;
 pub use machines::kind_of;
 use machines::{machines, scarcity};
@@ -17,7 +18,6 @@
 use sizing::{EMPTIED, idle, lack, rent, shrink};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use tokio::task::yield_now;
 use tokio::time::Instant;
 
 /// Tasks of one job planned in a round, at least; as many as there are machines
@@ -65,7 +65,7 @@
         turn.looked_at(round.worked_out());
         drop(turn);
         rest = &rest[done..];
-        yield_now().await;
+        node.load.give_way(started.elapsed()).await;
     }
     let mut ops = {
         let _turn = node.meter.turn(Work::Place);
@@ -77,38 +77,21 @@
         ops
     };
     tell(&round, &types);
-    // The fleet is sized by what is expected in every third round only: a plan
-    // of many jobs, most of which come out as they did a moment ago.
-    let due = {
-        let mut memory = lock(&node.leading);
-        let due = memory
-            .sized
-            .is_none_or(|at| at.elapsed() > node.times.round * 5 / 2);
-        if due {
-            memory.sized = Some(Instant::now());
-        }
-        due
-    };
-    // Calls until the next round, which comes the later the longer this one took.
-    let calls = |node: &Node| {
-        let span = node
-            .times
-            .round
-            .max(Duration::from_millis(now_ms().saturating_sub(now)));
-        (node.cloud.rate() * span.as_secs_f64()).ceil() as usize
+    let wish = Wish {
+        version,
+        began: now,
+        waiting: round.slots.len(),
     };
-    let waiting = round.slots.len();
-    if !due {
-        let mut memory = lock(&node.leading);
-        lack(&round, &types, waiting, false, &mut memory.lacking);
-        ops.extend(rent(
-            &mut memory,
-            (version, node.uptime()),
-            calls(node),
-            now,
-        ));
+    if !due(node) {
+        ops.extend(wish.rent(node, &round, &types, false));
         return ops;
     }
+    // What was placed need not wait for the sizing, which took seconds on the
+    // largest fleets.
+    if !append(node, version, &ops, For::Work).await {
+        return Vec::new();
+    }
+    ops.clear();
     let expected = {
         let _turn = node.meter.turn(Work::Size);
         let view = node.view();
@@ -162,11 +145,8 @@
         lock(&node.leading).late = late;
     }
     let _turn = node.meter.turn(Work::Size);
-    let view = node.view();
-    let mut memory = lock(&node.leading);
-    lack(&round, &types, waiting, true, &mut memory.lacking);
-    let rent = rent(&mut memory, (version, node.uptime()), calls(node), now);
-    ops.extend(idle(&view, &mut memory, &round));
+    let rent = wish.rent(node, &round, &types, true);
+    ops.extend(idle(&node.view(), &mut lock(&node.leading), &round));
     if !closed.is_empty() {
         tracing::info!(machines = ?closed, "machines emptied");
         ops.push(Op::Stage(Stage::Drain, closed));
@@ -175,6 +155,44 @@
     ops
 }
 
+/// Whether to size the fleet by what is expected: in every third round only, since
+/// it is a plan of many jobs, most of which come out as they did a moment ago.
+fn due(node: &Node) -> bool {
+    let pause = node.times.round * 5 / 2;
+    let mut memory = lock(&node.leading);
+    let due = memory.sized.is_none_or(|at| at.elapsed() > pause);
+    if due {
+        memory.sized = Some(Instant::now());
+    }
+    due
+}
+
+/// What a round rents by: of its slots, so many there are for what waits.
+struct Wish {
+    version: u64,
+    began: u64,
+    waiting: usize,
+}
+
+impl Wish {
+    /// Rentals for what the round found lacking, as far as there are calls until the
+    /// next one, which comes the later the longer this one took.
+    fn rent(&self, node: &Node, round: &Round, types: &Types, sized: bool) -> Vec<Op> {
+        let now = now_ms();
+        let took = Duration::from_millis(now.saturating_sub(self.began));
+        let span = node.times.round.max(took);
+        let calls = (node.cloud.rate() * span.as_secs_f64()).ceil() as usize;
+        let mut memory = lock(&node.leading);
+        lack(round, types, self.waiting, sized, &mut memory.lacking);
+        rent(
+            &mut memory,
+            (self.version, node.uptime()),
+            calls,
+            self.began,
+        )
+    }
+}
+
 /// Whether a turn of planning goes on. On a slow controller even a few jobs take
 /// long, and answers to workers and users must not wait for them.
 fn goes_on(node: &Node, done: usize, started: Instant) -> bool {
@@ -218,7 +236,7 @@
         turn.looked_at(round.worked_out());
         drop(turn);
         rest = &rest[done..];
-        yield_now().await;
+        node.load.give_way(started.elapsed()).await;
     }
     round.now = round.clock;
     late
--- a/crates/rushwalk/src/gate.rs
+++ b/crates/rushwalk/src/gate.rs
@@ -1,42 +1,52 @@
-//! How many connections are taken, and how fast.
+//! Which callers are served, and when.
 //!
-//! After an end of all controllers every worker of the fleet comes at once. Taking
-//! them all made each wait behind all others: answers came later than workers wait
+//! After an end of all controllers every worker of the fleet comes at once. Serving
+//! all of them made each wait behind all others: answers came later than workers wait
 //! for them, which brought them back on new connections, and the member's lease was
-//! renewed too late, which sent them elsewhere. So no more are taken in one pass over
-//! what is ready than keep such a pass short; the others wait in the kernel's queue.
+//! renewed too late, which sent them elsewhere. So no more are served in one pass over
+//! what is ready than keep such a pass short.
 //!
-//! Sockets are left for what this controller itself must call: without the state
-//! service, the cloud and its own workers it could keep no rule.
+//! The others are taken from the kernel and wait here, and the newest is served first.
+//! In the order of their coming, two of five that were served had already given up,
+//! and the users' health probe waited behind them until its node counted as dead.
+//! Who has waited for as long as callers wait is let go.
 
+use crate::seats::{Seated, Seats};
 use poem::http::uri::Scheme;
 use poem::listener::{Acceptor, Listener};
 use poem::web::{LocalAddr, RemoteAddr};
+use std::collections::VecDeque;
+use std::future::poll_fn;
 use std::io;
-use std::pin::Pin;
+use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll};
+use std::task::Poll;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, sleep};
 
-/// Connections that may be open, and how long a pass over what is ready may take
-/// before fewer are taken.
+/// How long a pass over what is ready may take before fewer are served in it, how
+/// long a caller may wait to be served, before it has gone elsewhere, and after how
+/// much silence a worker may be gone.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
-    pub open: usize,
     pub pass: Duration,
+    pub patience: Duration,
+    pub silent: Duration,
 }
 
 pub struct Gate<L> {
     inner: L,
+    seats: Arc<Seats>,
     limits: Limits,
 }
 
 impl<L> Gate<L> {
-    pub fn new(inner: L, limits: Limits) -> Gate<L> {
-        Gate { inner, limits }
+    pub fn new(inner: L, seats: Arc<Seats>, limits: Limits) -> Gate<L> {
+        Gate {
+            inner,
+            seats,
+            limits,
+        }
     }
 }
 
@@ -47,40 +57,88 @@
         Ok(Gated {
             inner: self.inner.into_acceptor().await?,
             pace: Pace::new(self.limits.pass),
-            open: Arc::default(),
-            most: self.limits.open,
+            seats: self.seats,
+            limits: self.limits,
+            waiting: VecDeque::new(),
         })
     }
 }
 
-pub struct Gated<A> {
+pub struct Gated<A: Acceptor> {
     inner: A,
     pace: Pace,
-    open: Arc<AtomicUsize>,
-    most: usize,
+    seats: Arc<Seats>,
+    limits: Limits,
+    /// Taken from the kernel, but not served yet, in the order of their coming.
+    waiting: VecDeque<(Instant, Taken<Seated<A::Io>>)>,
 }
 
+type Taken<T> = (T, LocalAddr, RemoteAddr, Scheme);
+
 impl<A: Acceptor> Acceptor for Gated<A> {
-    type Io = Counted<A::Io>;
+    type Io = Seated<A::Io>;
 
     fn local_addr(&self) -> Vec<LocalAddr> {
         self.inner.local_addr()
     }
 
     async fn accept(&mut self) -> io::Result<(Self::Io, LocalAddr, RemoteAddr, Scheme)> {
-        while self.pace.spent() {
-            let before = Instant::now();
-            tokio::task::yield_now().await;
-            self.pace.passed(before.elapsed());
-        }
-        while self.open.load(Ordering::Relaxed) >= self.most {
-            sleep(self.pace.limit).await;
+        loop {
+            let full = self.take_waiting().await?;
+            if self.waiting.is_empty() {
+                match full {
+                    true => sleep(self.pace.limit).await,
+                    false => {
+                        let taken = self.inner.accept().await;
+                        self.keep(taken).await?;
+                    }
+                }
+                continue;
+            }
+            if self.pace.spent() {
+                let before = Instant::now();
+                tokio::task::yield_now().await;
+                self.pace.passed(before.elapsed());
+                continue;
+            }
+            if let Some((_, newest)) = self.waiting.pop_back() {
+                return Ok(newest);
+            }
         }
-        match self.inner.accept().await {
+    }
+}
+
+impl<A: Acceptor> Gated<A> {
+    /// Takes all that wait in the kernel's queue, and gives up those that have waited
+    /// here for too long; whether no more may be open.
+    async fn take_waiting(&mut self) -> io::Result<bool> {
+        let full = loop {
+            if self.seats.full() {
+                self.seats.shed(self.limits.patience, self.limits.silent);
+                break true;
+            }
+            let next = {
+                let mut next = pin!(self.inner.accept());
+                poll_fn(|cx| Poll::Ready(next.as_mut().poll(cx))).await
+            };
+            match next {
+                Poll::Ready(taken) => self.keep(taken).await?,
+                Poll::Pending => break false,
+            }
+        };
+        let late = |(at, _): &(Instant, _)| at.elapsed() > self.limits.patience;
+        let late = self.waiting.iter().take_while(|one| late(one)).count();
+        self.waiting.drain(..late);
+        Ok(full)
+    }
+
+    async fn keep(&mut self, taken: io::Result<Taken<A::Io>>) -> io::Result<()> {
+        match taken {
             Ok((io, local, remote, scheme)) => {
-                self.open.fetch_add(1, Ordering::Relaxed);
-                let open = self.open.clone();
-                Ok((Counted { io, open }, local, remote, scheme))
+                let io = Seated::new(io, &self.seats, &remote);
+                let one = (io, local, remote, scheme);
+                self.waiting.push_back((Instant::now(), one));
+                Ok(())
             }
             Err(error) => {
                 // Out of sockets: asking again at once would only burn time.
@@ -128,62 +186,11 @@
     }
 }
 
-/// A connection that is counted until it is gone.
-pub struct Counted<T> {
-    io: T,
-    open: Arc<AtomicUsize>,
-}
-
-impl<T> Drop for Counted<T> {
-    fn drop(&mut self) {
-        self.open.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-impl<T: AsyncRead + Unpin> AsyncRead for Counted<T> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buf)
-    }
-}
-
-impl<T: AsyncWrite + Unpin> AsyncWrite for Counted<T> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
-    use poem::listener::TcpListener;
+    use poem::listener::{TcpAcceptor, TcpListener};
+    use std::net::SocketAddr;
     use tokio::io::AsyncReadExt;
     use tokio::net::TcpStream;
 
@@ -209,18 +216,25 @@
         assert_eq!(pass(&mut pace, 5), 64);
     }
 
-    /// At the end of its sockets a controller could call nobody any more, and span
-    /// on a listener that it could take nothing from.
-    #[tokio::test]
-    async fn no_more_are_taken_than_may_be_open() {
+    async fn gate(most: usize, patience: u64) -> (Gated<TcpAcceptor>, SocketAddr, Arc<Seats>) {
         let limits = Limits {
-            open: 3,
             pass: Duration::from_millis(1),
+            patience: Duration::from_millis(patience),
+            silent: Duration::from_secs(60),
         };
-        let gate = Gate::new(TcpListener::bind("127.0.0.1:0"), limits);
-        let mut gate = gate.into_acceptor().await.unwrap();
+        let seats = Arc::new(Seats::new(most));
+        let gate = Gate::new(TcpListener::bind("127.0.0.1:0"), seats.clone(), limits);
+        let gate = gate.into_acceptor().await.unwrap();
         let to = gate.local_addr().remove(0);
         let to = *to.as_socket_addr().unwrap();
+        (gate, to, seats)
+    }
+
+    /// At the end of its sockets a controller could call nobody any more, and span
+    /// on a listener that it could take nothing from.
+    #[tokio::test]
+    async fn no_more_are_taken_than_may_be_open() {
+        let (mut gate, to, seats) = gate(3, 60_000).await;
         let mut callers = Vec::new();
         for _ in 0..5 {
             callers.push(TcpStream::connect(to).await.unwrap());
@@ -229,7 +243,7 @@
         for _ in 0..3 {
             taken.push(gate.accept().await.unwrap().0);
         }
-        assert_eq!(gate.open.load(Ordering::Relaxed), 3);
+        assert_eq!(seats.count().0, 3);
         let mut next = std::pin::pin!(gate.accept());
         let early = tokio::time::timeout(Duration::from_millis(30), &mut next).await;
         assert!(early.is_err(), "a fourth was taken");
@@ -238,4 +252,35 @@
         drop(callers);
         assert_eq!(io.read(&mut [0; 8]).await.unwrap(), 0);
     }
+
+    /// Served in the order of their coming, callers got their answers when they had
+    /// already gone elsewhere, and came again.
+    #[tokio::test]
+    async fn the_newest_caller_is_served_first() {
+        let (mut gate, to, _seats) = gate(100, 60_000).await;
+        let mut callers = Vec::new();
+        for _ in 0..4 {
+            callers.push(TcpStream::connect(to).await.unwrap());
+        }
+        let ports = |from: &RemoteAddr| from.as_socket_addr().map(|a| a.port());
+        let mut served = Vec::new();
+        for _ in 0..4 {
+            served.push(ports(&gate.accept().await.unwrap().2).unwrap());
+        }
+        let port = |caller: &TcpStream| caller.local_addr().unwrap().port();
+        let newest_first: Vec<u16> = callers.iter().rev().map(port).collect();
+        assert_eq!(served, newest_first);
+    }
+
+    #[tokio::test]
+    async fn who_has_waited_too_long_is_let_go() {
+        let (mut gate, to, seats) = gate(100, 60_000).await;
+        let mut gone = TcpStream::connect(to).await.unwrap();
+        gate.take_waiting().await.unwrap();
+        assert_eq!(seats.count().0, 1);
+        gate.limits.patience = Duration::ZERO;
+        gate.take_waiting().await.unwrap();
+        assert_eq!(seats.count().0, 0);
+        assert_eq!(gone.read(&mut [0; 8]).await.unwrap(), 0);
+    }
 }
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -380,7 +380,12 @@
     let ours = held.keys().filter_map(|b| view.blocks.get(b));
     let ours: usize = ours.map(BTreeSet::len).sum();
     let ticks = report.as_secs_f64() / node.times.round.as_secs_f64() * 3.0;
-    let most = (2.0 * ours as f64 / ticks).ceil().max(ASKED) as usize;
+    let most = match node.load.behind() {
+        // Those that live come by themselves, unless this thread is too late for them.
+        true => ASKED,
+        false => (2.0 * ours as f64 / ticks).ceil().max(ASKED),
+    };
+    let most = most as usize;
     for name in machines {
         let Some(row) = view.machines.get(name) else {
             continue;
--- a/crates/rushwalk/src/main.rs
+++ b/crates/rushwalk/src/main.rs
@@ -7,11 +7,14 @@
 mod gate;
 mod holder;
 mod leader;
+mod load;
 mod log;
 mod mesh;
 mod meter;
 mod node;
+mod recovery;
 mod reports;
+mod seats;
 mod slots;
 mod snapshot;
 mod sync;
@@ -163,14 +166,17 @@
         // leader and to lend the blocks, for up to 14 s.
         let _ = tokio::time::timeout(node.times.member, node.settled()).await;
         let limits = Limits {
-            open: node::taken(node.settings.site.limits.fd_limit),
             pass: node.times.round / 16,
+            patience: node.times.round * 3,
+            silent: node.times.silent,
         };
-        let listener = Gate::new(TcpListener::bind(public), limits);
+        let listener = Gate::new(TcpListener::bind(public), node.seats.clone(), limits);
         poem::Server::new(listener)
             .run(api::routes(node.clone()))
             .await
     };
+    // Machines that die leave their connections behind.
+    let _sweep = tokio::spawn(node.seats.clone().sweep_loop(node.times.lease));
     let (public, mesh) = tokio::join!(public, mesh);
     public.and(mesh).map_err(|e| e.to_string())
 }
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -1,9 +1,12 @@
 //! What all loops of one controller share.
 
 use crate::leader::LeaderMemory;
+use crate::load::Load;
 use crate::log::{Asked, Slots};
 use crate::meter::Meter;
+use crate::recovery::Recovery;
 use crate::reports::Reports;
+use crate::seats::Seats;
 use crate::view::View;
 use rushwalk_clients::budget::Budget;
 use rushwalk_clients::state::{Outcome, State};
@@ -81,6 +84,12 @@
     pub fresh_wanted: Notify,
     pub member_lease: Mutex<Option<u64>>,
     pub meter: Meter,
+    pub load: Load,
+    pub recovery: Arc<Mutex<Recovery>>,
+    /// Answers 429 and 503 to users since somebody looked.
+    pub refused: AtomicU64,
+    /// Connections at the public address.
+    pub seats: Arc<Seats>,
     started: Instant,
 }
 
@@ -145,6 +154,11 @@
         tokio::spawn(crate::snapshot::snapshot_loop(node.clone())),
         tokio::spawn(crate::mesh::hello_loop(node.clone())),
         tokio::spawn(tell_loop(node.clone())),
+        tokio::spawn(load_loop(node.clone())),
+        tokio::spawn(crate::recovery::recovery_loop(
+            node.clone(),
+            node.recovery.clone(),
+        )),
     ];
     if let Some(queue) = lock(&node.users_queue).take() {
         loops.push(tokio::spawn(crate::log::users_loop(node.clone(), queue)));
@@ -152,12 +166,19 @@
     loops
 }
 
+async fn load_loop(node: Arc<Node>) {
+    node.load.watch().await;
+}
+
 /// Says once in a lease where the time went, for whoever follows the log.
 async fn tell_loop(node: Arc<Node>) {
     loop {
         tokio::time::sleep(node.times.lease).await;
         let (up_s, busy_s) = node.busy();
-        tracing::info!(up_s, busy_s, work = %node.meter.told(), "time spent");
+        let (connections, workers) = node.seats.count();
+        let late_ms = node.load.late().as_millis() as u64;
+        let work = node.meter.told();
+        tracing::info!(up_s, busy_s, late_ms, connections, workers, %work, "time spent");
     }
 }
 
@@ -192,6 +213,10 @@
             fresh_wanted: Notify::new(),
             member_lease: Mutex::default(),
             meter: Meter::default(),
+            seats: Arc::new(Seats::new(taken(settings.site.limits.fd_limit))),
+            recovery: Arc::default(),
+            refused: AtomicU64::new(0),
+            load: Load::new(times.round / 8),
             started: now,
             settings,
             times,
