--- a/crates/clients/src/cloud.rs
+++ b/crates/clients/src/cloud.rs
@@ -3,7 +3,7 @@
 use crate::budget::Budget;
 use crate::http::{Error, Http, body};
 use hyper::Method;
-use rushwalk_wire::cloud::{MachineList, MachineNames, MachineTypes, RentRequest};
+use rushwalk_wire::cloud::{MAX_LIST, MachineList, MachineNames, MachineTypes, RentRequest};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::Mutex;
@@ -105,7 +105,7 @@
 
     pub async fn list(&self, since: &str) -> Result<MachineList, Error> {
         self.turn().await;
-        let path = format!("/rentals?since={since}&limit=500");
+        let path = format!("/rentals?since={since}&limit={MAX_LIST}");
         self.call(Method::GET, &path, Vec::new()).await
     }
 
--- a/crates/plan/src/market.rs
+++ b/crates/plan/src/market.rs
@@ -16,6 +16,16 @@
     pub spot: bool,
 }
 
+impl Kind {
+    pub fn new(name: impl Into<Arc<str>>, zone: impl Into<Arc<str>>, spot: bool) -> Kind {
+        Kind {
+            name: name.into(),
+            zone: zone.into(),
+            spot,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Known {
     /// So many there are for us.
@@ -139,11 +149,7 @@
     use super::*;
 
     fn kind(name: &str, spot: bool) -> Kind {
-        Kind {
-            name: name.into(),
-            zone: "east".into(),
-            spot,
-        }
+        Kind::new(name, "east", spot)
     }
 
     /// On a fleet twice as large each refused kind was asked for again, call
--- a/crates/rushwalk/src/cloud.rs
+++ b/crates/rushwalk/src/cloud.rs
@@ -7,7 +7,7 @@
 use crate::view::{Name, View};
 use rushwalk_clients::cloud::Rented;
 use rushwalk_plan::market::Kind;
-use rushwalk_wire::cloud::{ListedState, MAX_DELETE, RentRequest};
+use rushwalk_wire::cloud::{ListedState, MAX_DELETE, MAX_LIST, RentRequest};
 use rushwalk_wire::records::{self as rec, LEADER, Machine, Op, Rental, Stage};
 use rushwalk_wire::state::Transaction;
 use std::collections::HashMap;
@@ -28,7 +28,7 @@
             typed_at = Some(Instant::now());
         }
         // A large fleet takes many pages: a tenth of the calls at most.
-        let pages = (node.view().machines.len() / PAGE + 1) as f64;
+        let pages = (node.view().machines.len() / MAX_LIST + 1) as f64;
         let lag = node.settings.site.cloud.list_lag_s.max(1.0);
         let every = (4.0 * lag).max(10.0 * pages / node.cloud.rate());
         if listed_at.is_none_or(|at| at.elapsed().as_secs_f64() > every) {
@@ -38,9 +38,6 @@
     }
 }
 
-/// Machines in a page of the list.
-const PAGE: usize = 500;
-
 fn leads(node: &Node) -> bool {
     let view = node.view();
     node.leadership(&view).is_some()
@@ -222,7 +219,7 @@
         Rented::Nothing | Rented::Malformed => 0,
     };
     tracing::info!(request = &**name, got, of = rental.count, ?kind, "rented");
-    let have = node.view().by_kind().get(kind).copied().unwrap_or_default();
+    let have = node.view().of_kind(kind);
     let pause = 6.0 * node.times.round.as_secs_f64();
     let market = &mut lock(&node.leading).market;
     market.answered(kind, rental.count, got, have, node.uptime(), pause);
--- a/crates/rushwalk/src/fleet/machines.rs
+++ b/crates/rushwalk/src/fleet/machines.rs
@@ -79,6 +79,10 @@
         there.1 += view.pulse(block).1;
     }
     let have = view.by_kind();
+    let mut asked: BTreeMap<Kind, u32> = BTreeMap::new();
+    for rental in view.rentals.values() {
+        *asked.entry(kind_of(rental)).or_default() += rental.count;
+    }
     let mut out = Vec::new();
     for (group, kind) in types.types.iter().enumerate() {
         for name in &kind.zones {
@@ -94,15 +98,10 @@
                 if spot && kind.spot_price.is_none() {
                     continue;
                 }
-                let key = Kind {
-                    name: kind.name.as_str().into(),
-                    zone: zones[zone].clone(),
-                    spot,
-                };
+                let key = Kind::new(kind.name.as_str(), zones[zone].clone(), spot);
                 let have = have.get(&key).copied().unwrap_or_default();
                 memory.market.seen(&key, have);
-                let asked = view.rentals.values().filter(|r| kind_of(r) == key);
-                let asked: u32 = asked.map(|r| r.count).sum();
+                let asked = asked.get(&key).copied().unwrap_or_default();
                 let left = memory.market.room(&key, have + asked, uptime, MAX_RENT);
                 if left == 0 {
                     continue;
@@ -122,11 +121,7 @@
 
 /// What a rental asks for.
 pub fn kind_of(rental: &Rental) -> Kind {
-    Kind {
-        name: rental.kind.as_str().into(),
-        zone: rental.zone.as_str().into(),
-        spot: rental.spot,
-    }
+    Kind::new(rental.kind.as_str(), rental.zone.as_str(), rental.spot)
 }
 
 /// By how much dearer each group counts for each class. Where no zone has more
@@ -141,11 +136,7 @@
     let kinds = &types.types;
     let scarce = |group: usize, spot: bool| {
         let kind = &kinds[group];
-        let key = |zone: &String| Kind {
-            name: kind.name.as_str().into(),
-            zone: zone.as_str().into(),
-            spot,
-        };
+        let key = |zone: &String| Kind::new(kind.name.as_str(), zone.as_str(), spot);
         kind.zones.iter().all(|z| memory.market.scarce(&key(z)))
     };
     let scarce: Vec<[bool; 2]> = (0..kinds.len())
--- a/crates/rushwalk/src/fleet/sizing.rs
+++ b/crates/rushwalk/src/fleet/sizing.rs
@@ -29,11 +29,8 @@
     }
     let mut found: BTreeMap<Kind, Lack> = BTreeMap::new();
     for (i, slot) in round.slots.iter().enumerate().skip(round.rent_from) {
-        let kind = Kind {
-            name: types.types[slot.group].name.as_str().into(),
-            zone: round.zones[slot.zone].clone(),
-            spot: slot.spot,
-        };
+        let name = types.types[slot.group].name.as_str();
+        let kind = Kind::new(name, round.zones[slot.zone].clone(), slot.spot);
         let lack = found.entry(kind).or_default();
         lack.all += 1;
         lack.waiting += u32::from(i < waiting);
--- a/crates/rushwalk/src/view.rs
+++ b/crates/rushwalk/src/view.rs
@@ -360,16 +360,19 @@
         let mut out = BTreeMap::new();
         for row in self.machines.values() {
             let m = &row.machine;
-            let kind = Kind {
-                name: m.kind.clone(),
-                zone: m.zone.clone(),
-                spot: m.spot,
-            };
+            let kind = Kind::new(m.kind.clone(), m.zone.clone(), m.spot);
             *out.entry(kind).or_default() += 1;
         }
         out
     }
 
+    /// How many machines of one kind there are.
+    pub fn of_kind(&self, kind: &Kind) -> u32 {
+        let same = |m: &Machine| m.spot == kind.spot && m.kind == kind.name && m.zone == kind.zone;
+        let same = self.machines.values().filter(|row| same(&row.machine));
+        same.count() as u32
+    }
+
     /// Of a block's machines, how many are up, and how many of those silent.
     pub fn pulse(&self, block: &str) -> (usize, usize) {
         self.pulse.get(block).copied().unwrap_or_default()
--- a/crates/wire/src/cloud.rs
+++ b/crates/wire/src/cloud.rs
@@ -52,6 +52,8 @@
 
 pub const MAX_RENT: u32 = 50;
 pub const MAX_DELETE: usize = 100;
+/// Machines in a page of the list.
+pub const MAX_LIST: usize = 500;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
