Silent machines are asked at the full rate also while the thread is behind

Change: the bound is for machines not heard of since we came to hold them, which come by themselves; those that were heard are asked as before (`Asking`).

--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -365,11 +365,36 @@
     ops
 }
 
+/// How many workers one tick asks for news: at most `all`, and of those not heard of
+/// since we came to hold them at most `new`.
+struct Asking {
+    all: usize,
+    new: usize,
+}
+
+impl Asking {
+    /// Those that are new come by themselves, unless this thread is too late for them:
+    /// while it is behind few are asked. Not so those that were heard and fell silent:
+    /// asked later, a third of the fleet was found dead later.
+    fn new(most: usize, behind: bool) -> Asking {
+        let new = if behind { ASKED as usize } else { most };
+        Asking { all: most, new }
+    }
+
+    fn may(&mut self, new: bool) -> bool {
+        if self.all == 0 || (new && self.new == 0) {
+            return false;
+        }
+        self.all -= 1;
+        self.new -= usize::from(new);
+        true
+    }
+}
+
 /// Sends what can't wait for the next report to the workers' own addresses;
 /// those to whom it is too early to send again are to be looked at again.
 fn send(node: &Arc<Node>, machines: &BTreeSet<Name>) -> BTreeSet<Name> {
     let mut again = BTreeSet::new();
-    let mut asked = 0;
     let view = node.view();
     let mut reports = lock(&node.reports);
     let held = held(node, &view);
@@ -380,12 +405,8 @@
     let ours = held.keys().filter_map(|b| view.blocks.get(b));
     let ours: usize = ours.map(BTreeSet::len).sum();
     let ticks = report.as_secs_f64() / node.times.round.as_secs_f64() * 3.0;
-    let most = match node.load.behind() {
-        // Those that live come by themselves, unless this thread is too late for them.
-        true => ASKED,
-        false => (2.0 * ours as f64 / ticks).ceil().max(ASKED),
-    };
-    let most = most as usize;
+    let most = (2.0 * ours as f64 / ticks).ceil().max(ASKED) as usize;
+    let mut asking = Asking::new(most, node.load.behind());
     for name in machines {
         let Some(row) = view.machines.get(name) else {
             continue;
@@ -416,8 +437,7 @@
             if worker.probed_at.is_some_and(|at| at.elapsed() < pause) {
                 continue;
             }
-            asked += 1;
-            if asked > most {
+            if !asking.may(worker.heard.is_none()) {
                 again.insert(name.clone());
                 continue;
             }
@@ -540,3 +560,20 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_thread_that_is_behind_asks_few_of_the_new_but_all_the_silent() {
+        let ask = |behind: bool, new: usize, silent: usize| {
+            let mut asking = Asking::new(100, behind);
+            let new = (0..new).filter(|_| asking.may(true)).count();
+            (new, (0..silent).filter(|_| asking.may(false)).count())
+        };
+        assert_eq!(ask(false, 300, 50), (100, 0));
+        assert_eq!(ask(true, 300, 50), (8, 50));
+        assert_eq!(ask(true, 300, 300), (8, 92));
+    }
+}
