Emptying is tried before what was placed shows in the records

Cause: since a plan's placements are committed before the fleet is sized, and `shrink` told machines with new tasks by what the records did not show yet: it then emptied machines that had just been given work. Change: `shrink` runs before the commit, as it did.

--- a/crates/rushwalk/src/fleet.rs
+++ b/crates/rushwalk/src/fleet.rs
@@ -86,6 +86,21 @@
         ops.extend(wish.rent(node, &round, &types, false));
         return ops;
     }
+    let missing = round.slots.len() > round.rent_from;
+    // Would fewer machines do, for what waits and what is expected? Tried before what
+    // was placed shows in the records: a machine with a new task is not emptied.
+    let turn = node.meter.turn(Work::Size);
+    let mut closed = match missing {
+        true => Vec::new(),
+        false => shrink(
+            &node.view(),
+            &mut lock(&node.leading),
+            &mut round,
+            &types,
+            now,
+        ),
+    };
+    drop(turn);
     // What was placed need not wait for the sizing, which took seconds on the
     // largest fleets.
     if !append(node, version, &ops, For::Work).await {
@@ -102,20 +117,6 @@
         }
         expected
     };
-    let missing = round.slots.len() > round.rent_from;
-    // Would fewer machines do, for what waits and what is expected?
-    let turn = node.meter.turn(Work::Size);
-    let mut closed = match missing {
-        true => Vec::new(),
-        false => shrink(
-            &node.view(),
-            &mut lock(&node.leading),
-            &mut round,
-            &types,
-            now,
-        ),
-    };
-    drop(turn);
     let before = (!closed.is_empty()).then(|| round.slots.clone());
     let late = expect(node, &mut round, &expected).await;
     if let Some(before) = before {
