--- a/crates/rushwalk/src/gate.rs
+++ b/crates/rushwalk/src/gate.rs
@@ -60,6 +60,7 @@
             seats: self.seats,
             limits: self.limits,
             waiting: VecDeque::new(),
+            shed: None,
         })
     }
 }
@@ -71,6 +72,8 @@
     limits: Limits,
     /// Taken from the kernel, but not served yet, in the order of their coming.
     waiting: VecDeque<(Instant, Taken<Seated<A::Io>>)>,
+    /// When idle connections were last closed for want of room.
+    shed: Option<Instant>,
 }
 
 type Taken<T> = (T, LocalAddr, RemoteAddr, Scheme);
@@ -114,7 +117,12 @@
     async fn take_waiting(&mut self) -> io::Result<bool> {
         let full = loop {
             if self.seats.full() {
-                self.seats.shed(self.limits.patience, self.limits.silent);
+                // Looks at all of them, and those closed take a pass to be gone: not
+                // once for each caller that is served meanwhile.
+                if self.shed.is_none_or(|at| at.elapsed() > self.pace.limit) {
+                    self.shed = Some(Instant::now());
+                    self.seats.shed(self.limits.patience, self.limits.silent);
+                }
                 break true;
             }
             let next = {
--- a/crates/rushwalk/src/load.rs
+++ b/crates/rushwalk/src/load.rs
@@ -6,8 +6,8 @@
 //! asked thousands of workers for news, who were coming by themselves, and answered
 //! these so late that they went to the next controller, and so on.
 
-use std::sync::Mutex;
-use std::sync::PoisonError;
+use crate::lock::lock;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -27,7 +27,7 @@
 
     /// How late timers are of late.
     pub fn late(&self) -> Duration {
-        *self.late.lock().unwrap_or_else(PoisonError::into_inner)
+        *lock(&self.late)
     }
 
     /// Whether they are later than the time between two looks.
@@ -38,7 +38,7 @@
     /// A timer was so late. Rises at once, and falls by a quarter with each that was
     /// in time: one good turn doesn't end a storm.
     fn saw(&self, late: Duration) {
-        let mut before = self.late.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut before = lock(&self.late);
         *before = late.max(*before * 3 / 4);
     }
 
@@ -51,7 +51,7 @@
         }
     }
 
-    pub async fn watch(&self) {
+    pub async fn watch_loop(self: Arc<Load>) {
         loop {
             let due = Instant::now() + self.every;
             sleep(self.every).await;
--- a/crates/rushwalk/src/main.rs
+++ b/crates/rushwalk/src/main.rs
@@ -8,6 +8,7 @@
 mod holder;
 mod leader;
 mod load;
+mod lock;
 mod log;
 mod mesh;
 mod meter;
@@ -175,8 +176,6 @@
             .run(api::routes(node.clone()))
             .await
     };
-    // Machines that die leave their connections behind.
-    let _sweep = tokio::spawn(node.seats.clone().sweep_loop(node.times.lease));
     let (public, mesh) = tokio::join!(public, mesh);
     public.and(mesh).map_err(|e| e.to_string())
 }
--- a/crates/rushwalk/src/meter.rs
+++ b/crates/rushwalk/src/meter.rs
@@ -1,8 +1,9 @@
 //! Where a controller's time goes: how often each kind of work is done, how long
 //! it takes, and the longest that it ever kept the others on this thread waiting.
 
+use crate::lock::lock;
 use serde_json::{Value, json};
-use std::sync::{Mutex, PoisonError};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 /// Kinds of work that are done in one go.
@@ -80,13 +81,13 @@
     /// How many things were looked at in one kind of work so far.
     #[cfg(test)]
     pub fn items(&self, work: Work) -> u64 {
-        let spent = self.spent.lock().unwrap_or_else(PoisonError::into_inner);
+        let spent = lock(&self.spent);
         spent[work as usize].items
     }
 
     /// Turns, things looked at, milliseconds and the longest turn of each kind of work so far.
     pub fn told(&self) -> Value {
-        let spent = self.spent.lock().unwrap_or_else(PoisonError::into_inner);
+        let spent = lock(&self.spent);
         let ms = |d: Duration| (d.as_secs_f64() * 1e4).round() / 10.0;
         let kinds = KINDS.iter().zip(spent.iter());
         kinds
@@ -102,11 +103,7 @@
 impl Drop for Turn<'_> {
     fn drop(&mut self) {
         let time = self.since.elapsed();
-        let mut spent = self
-            .meter
-            .spent
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut spent = lock(&self.meter.spent);
         let spent = &mut spent[self.work as usize];
         spent.turns += 1;
         spent.items += self.items;
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::leader::LeaderMemory;
 use crate::load::Load;
+pub use crate::lock::lock;
 use crate::log::{Asked, Slots};
 use crate::meter::Meter;
 use crate::recovery::Recovery;
@@ -18,7 +19,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
@@ -84,8 +85,8 @@
     pub fresh_wanted: Notify,
     pub member_lease: Mutex<Option<u64>>,
     pub meter: Meter,
-    pub load: Load,
-    pub recovery: Arc<Mutex<Recovery>>,
+    pub load: Arc<Load>,
+    pub recovery: Mutex<Recovery>,
     /// Answers 429 and 503 to users since somebody looked.
     pub refused: AtomicU64,
     /// Connections at the public address.
@@ -93,10 +94,6 @@
     started: Instant,
 }
 
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 #[cfg(not(test))]
 pub fn now_ms() -> u64 {
     std::time::SystemTime::now()
@@ -154,11 +151,9 @@
         tokio::spawn(crate::snapshot::snapshot_loop(node.clone())),
         tokio::spawn(crate::mesh::hello_loop(node.clone())),
         tokio::spawn(tell_loop(node.clone())),
-        tokio::spawn(load_loop(node.clone())),
-        tokio::spawn(crate::recovery::recovery_loop(
-            node.clone(),
-            node.recovery.clone(),
-        )),
+        tokio::spawn(node.load.clone().watch_loop()),
+        tokio::spawn(node.seats.clone().sweep_loop(node.times.lease)),
+        tokio::spawn(crate::recovery::recovery_loop(node.clone())),
     ];
     if let Some(queue) = lock(&node.users_queue).take() {
         loops.push(tokio::spawn(crate::log::users_loop(node.clone(), queue)));
@@ -166,10 +161,6 @@
     loops
 }
 
-async fn load_loop(node: Arc<Node>) {
-    node.load.watch().await;
-}
-
 /// Says once in a lease where the time went, for whoever follows the log.
 async fn tell_loop(node: Arc<Node>) {
     loop {
@@ -214,9 +205,9 @@
             member_lease: Mutex::default(),
             meter: Meter::default(),
             seats: Arc::new(Seats::new(taken(settings.site.limits.fd_limit))),
-            recovery: Arc::default(),
+            recovery: Mutex::default(),
             refused: AtomicU64::new(0),
-            load: Load::new(times.round / 8),
+            load: Arc::new(Load::new(times.round / 8)),
             started: now,
             settings,
             times,
--- a/crates/rushwalk/src/recovery.rs
+++ b/crates/rushwalk/src/recovery.rs
@@ -4,8 +4,8 @@
 use crate::node::{Node, lock};
 use serde::Serialize;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -124,7 +124,7 @@
 }
 
 /// Looks once a round. From the start it is a trouble until all is well.
-pub async fn recovery_loop(node: Arc<Node>, recovery: Arc<Mutex<Recovery>>) {
+pub async fn recovery_loop(node: Arc<Node>) {
     let round = node.times.round;
     let calm = (round * 3).as_secs_f64();
     let mut looked = Instant::now();
@@ -133,7 +133,7 @@
         let passed = looked.elapsed();
         looked = Instant::now();
         let wrong = wrong(&node);
-        let over = lock(&recovery).saw(passed.as_secs_f64(), &wrong, calm);
+        let over = lock(&node.recovery).saw(passed.as_secs_f64(), &wrong, calm);
         // A single late timer is no trouble that anybody wants to read of.
         if let Some(trouble) = over
             && Duration::from_secs_f64(trouble.took_s) > 3 * round
--- a/crates/rushwalk/src/seats.rs
+++ b/crates/rushwalk/src/seats.rs
@@ -8,22 +8,19 @@
 //! third of the machines gone, a controller once stayed full of the dead, took no user
 //! any more and answered no health probe until the end of the day.
 
+use crate::lock::lock;
 use poem::web::RemoteAddr;
 use std::collections::HashMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, sleep};
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// One connection.
 struct Seat {
     /// When something last went through it, in milliseconds since the start.
@@ -83,7 +80,7 @@
             let worker = seat.worker.load(Ordering::Relaxed);
             let limit = if worker { silent } else { unused };
             let open = !seat.closed.load(Ordering::Relaxed);
-            if open && u128::from(now.saturating_sub(used)) > limit.as_millis() {
+            if open && seat.unused(now) > limit {
                 may_go.push((worker, used, seat.clone()));
             }
         }
@@ -96,8 +93,7 @@
     pub fn sweep(&self, silent: Duration) {
         let now = self.now();
         for seat in lock(&self.all).values() {
-            let used = seat.used.load(Ordering::Relaxed);
-            if u128::from(now.saturating_sub(used)) > silent.as_millis() {
+            if seat.unused(now) > silent {
                 seat.close();
             }
         }
@@ -117,6 +113,10 @@
 }
 
 impl Seat {
+    fn unused(&self, now: u64) -> Duration {
+        Duration::from_millis(now.saturating_sub(self.used.load(Ordering::Relaxed)))
+    }
+
     /// To its reader it looks as if the other side had closed it.
     fn close(&self) {
         self.closed.store(true, Ordering::Relaxed);
