--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -19,6 +19,9 @@
     /// Nothing was sent: the other side can't have acted.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// Nothing was sent either: the host answered that nobody listens there.
+    #[error("connection refused")]
+    Refused,
     /// Sent, but unanswered: the other side may have acted, or may still act.
     #[error("no answer: {0}")]
     Unknown(String),
@@ -166,7 +169,12 @@
 
 async fn connect(address: SocketAddr) -> Result<Connection, Error> {
     let failed = |e: &dyn std::fmt::Display| Error::NotSent(e.to_string());
-    let stream = TcpStream::connect(address).await.map_err(|e| failed(&e))?;
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|e| match e.kind() {
+            std::io::ErrorKind::ConnectionRefused => Error::Refused,
+            _ => failed(&e),
+        })?;
     let _ = stream.set_nodelay(true);
     let (sender, connection) = handshake(TokioIo::new(stream))
         .await
--- a/crates/clients/src/state.rs
+++ b/crates/clients/src/state.rs
@@ -75,7 +75,7 @@
                 400 if bytes.windows(5).any(|w| w == b"lease") => Outcome::NoLease,
                 other => Outcome::Refused(Error::Status(other)),
             },
-            Err(e @ Error::NotSent(_)) => Outcome::Refused(e),
+            Err(e @ (Error::NotSent(_) | Error::Refused)) => Outcome::Refused(e),
             Err(e) => Outcome::Unknown(e),
         }
     }
--- /dev/null
+++ b/crates/detect/src/standing.rs
@@ -0,0 +1,513 @@
+//! What a controller thinks of each of the others, and why.
+//!
+//! | standing | what it allows | how it ends |
+//! | --- | --- | --- |
+//! | trusted | everything | doubt |
+//! | suspect | what can be taken back: nothing new is given to it, nobody's change is passed to it, a successor gets ready | an answer of the same process to a greeting sent since |
+//! | judged | what the state service fences: the lead and the blocks are taken by conditioned commits | another process of that name, or a while of answers |
+//!
+//! A verdict needs, beside the doubt, that most of the other controllers that can be
+//! heard and that reach the state service have the same doubt, that none of them has
+//! heard of the suspect since, that the suspect has written nothing to the log since,
+//! and that the judge itself has read the state service since. So one that is cut off
+//! can pass no verdict, and a packet filter between all controllers leads to none.
+
+use crate::accrual::Arrivals;
+use crate::damping::{Damping, Term};
+use crate::succession::{Candidate, Spans};
+use rushwalk_wire::mesh::{Hello, Sight};
+use std::collections::BTreeMap;
+
+/// Spans that follow from the settings.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Seconds between two greetings of the same peer.
+    pub every_s: f64,
+    /// A planning round.
+    pub round_s: f64,
+    /// The member lease: by its end the state service itself says who is gone.
+    pub member_s: f64,
+    /// Suspicion begins at this φ.
+    pub phi: f64,
+    /// Greetings refused in a row before that is a doubt.
+    pub refusals: u32,
+}
+
+impl Limits {
+    pub fn spans(&self) -> Spans {
+        Spans {
+            every_s: self.every_s,
+            round_s: self.round_s,
+        }
+    }
+}
+
+/// What became of a greeting of ours.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Contact {
+    /// Its host answered that nobody listens there. That is a dead process, or one
+    /// without sockets, or a packet filter.
+    Refused,
+    /// No answer in time.
+    Silent,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Standing {
+    Trusted,
+    Suspect,
+    Judged,
+}
+
+/// What speaks against a controller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Why {
+    /// Its port refuses greetings.
+    Refused,
+    /// It is silent for longer than its history explains.
+    Silent,
+    /// It leads, says itself that its timers are late, and plans no rounds.
+    Stalled,
+    /// It says itself that its timers are late, round after round.
+    Slow,
+    /// Its member lease has ended: the state service's word.
+    Left,
+}
+
+/// A change of somebody's standing, for the log.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Change {
+    pub member: String,
+    pub from: Standing,
+    pub to: Standing,
+    pub why: Option<Why>,
+    /// How long the standing before had lasted, in seconds.
+    pub after_s: f64,
+    pub phi: f64,
+    /// Controllers that could be asked, and those that had the same doubt.
+    pub witnesses: usize,
+    pub agree: usize,
+}
+
+/// What the observer knows of itself.
+#[derive(Debug, Clone, Copy)]
+pub struct Own {
+    /// How late its timers are, in seconds.
+    pub late_s: f64,
+    /// Since when its last answered read of the state service was sent, in seconds.
+    pub state_age_s: f64,
+    /// The newest revision it has seen.
+    pub revision: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Peer {
+    /// Its present process, as far as is known; 0 if it never was a member.
+    nonce: u64,
+    /// Its present term as a member.
+    term: Option<Term>,
+    arrivals: Arrivals,
+    /// What it said last, and when that came.
+    hello: Option<(f64, Hello)>,
+    /// Since when greetings are refused, and how many were.
+    refused: Option<(f64, u32)>,
+    /// When an entry of its in the log was last seen.
+    wrote_s: f64,
+    /// Since when it says that it is late.
+    late_since: Option<f64>,
+    standing: Standing,
+    why: Option<Why>,
+    /// When the standing began, and the term and the observer's revision then.
+    since_s: f64,
+    doubted: Option<Term>,
+    revision: u64,
+    /// Of one that was judged: since when it answers again.
+    back_s: Option<f64>,
+}
+
+/// The observer's judgement of all others.
+#[derive(Debug, Clone)]
+pub struct Detector {
+    limits: Limits,
+    peers: BTreeMap<String, Peer>,
+    pub damping: Damping,
+    /// When verdicts were passed, the latest last.
+    verdicts: Vec<f64>,
+}
+
+impl Detector {
+    pub fn new<'a>(limits: Limits, peers: impl Iterator<Item = &'a str>, now_s: f64) -> Detector {
+        let peer = |_| Peer {
+            nonce: 0,
+            term: None,
+            arrivals: Arrivals::new(limits.every_s),
+            hello: None,
+            refused: None,
+            wrote_s: f64::NEG_INFINITY,
+            late_since: None,
+            standing: Standing::Trusted,
+            why: None,
+            since_s: now_s,
+            doubted: None,
+            revision: 0,
+            back_s: None,
+        };
+        Detector {
+            peers: peers.map(|name| (name.to_string(), peer(name))).collect(),
+            damping: Damping::new(limits.member_s),
+            limits,
+            verdicts: Vec::new(),
+        }
+    }
+
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// It answered a greeting of ours.
+    pub fn answered(&mut self, now_s: f64, hello: Hello) {
+        self.listen(now_s, hello, true);
+    }
+
+    /// It greeted us. Such a message may have been held back by the network for
+    /// minutes: it speaks for its sender only if it knows of what the state service
+    /// held when the doubt began.
+    pub fn greeted(&mut self, now_s: f64, hello: Hello) {
+        let Some(peer) = self.peers.get(&hello.member) else {
+            return;
+        };
+        let late = peer.standing != Standing::Trusted && hello.revision < peer.revision;
+        let older = peer.hello.as_ref().is_some_and(|(_, known)| hello.revision < known.revision);
+        if !late && !older {
+            self.listen(now_s, hello, false);
+        }
+    }
+
+    fn listen(&mut self, now_s: f64, hello: Hello, answer: bool) {
+        let (round_s, every_s) = (self.limits.round_s, self.limits.every_s);
+        let Some(peer) = self.peers.get_mut(&hello.member) else {
+            return;
+        };
+        if peer.nonce != hello.nonce && hello.nonce != 0 {
+            peer.nonce = hello.nonce;
+            peer.arrivals.restart();
+            peer.late_since = None;
+        }
+        peer.arrivals.heard(now_s);
+        peer.refused = None;
+        let late = hello.late_ms as f64 / 1000.0;
+        if late < every_s {
+            peer.late_since = None;
+        } else if late >= round_s / 2.0 {
+            peer.late_since.get_or_insert(now_s);
+        }
+        if answer && peer.standing == Standing::Judged {
+            peer.back_s.get_or_insert(now_s);
+        }
+        peer.hello = Some((now_s, hello));
+    }
+
+    /// A greeting of ours was not answered.
+    pub fn failed(&mut self, now_s: f64, member: &str, contact: Contact) {
+        let Some(peer) = self.peers.get_mut(member) else {
+            return;
+        };
+        match contact {
+            Contact::Refused => {
+                let (_, count) = peer.refused.get_or_insert((now_s, 0));
+                *count += 1;
+            }
+            // Its host is silent now: what it refused before says nothing any more.
+            Contact::Silent => peer.refused = None,
+        }
+        peer.back_s = None;
+    }
+
+    /// An entry of its came into the log. One that was written before its end may
+    /// come late, so it only speaks against a verdict, for a while.
+    pub fn wrote(&mut self, now_s: f64, member: &str) {
+        if let Some(peer) = self.peers.get_mut(member) {
+            peer.wrote_s = now_s;
+        }
+    }
+
+    /// What the state service says of a member: its process and the time of its
+    /// registration, or none.
+    pub fn member(&mut self, now_s: f64, name: &str, term: Option<Term>) {
+        let Some(peer) = self.peers.get_mut(name) else {
+            return;
+        };
+        if peer.term == term {
+            return;
+        }
+        if let Some(before) = peer.term {
+            self.damping.left(now_s, name, before);
+        }
+        peer.term = term;
+        if let Some(term) = term
+            && term.nonce != peer.nonce
+        {
+            peer.nonce = term.nonce;
+            peer.arrivals.restart();
+            peer.refused = None;
+            peer.late_since = None;
+        }
+    }
+
+    /// It laid down the lead by itself, or lost a block's machines, in a term.
+    pub fn stood_down(&mut self, now_s: f64, name: &str, term: Term) {
+        self.damping.left(now_s, name, term);
+    }
+
+    pub fn standing(&self, member: &str) -> Standing {
+        self.peers.get(member).map_or(Standing::Trusted, |p| p.standing)
+    }
+
+    /// Whether this process of a member is judged: a new one of its name is not.
+    pub fn judged(&self, member: &str, nonce: u64) -> bool {
+        let peer = self.peers.get(member);
+        peer.is_some_and(|p| p.standing == Standing::Judged && p.nonce == nonce)
+    }
+
+    /// Whether it is too slow for what it has.
+    pub fn slow(&self, member: &str) -> bool {
+        let slow = |p: &Peer| matches!(p.why, Some(Why::Slow | Why::Stalled));
+        self.peers.get(member).is_some_and(slow)
+    }
+
+    /// What a peer said last, and how long ago that was, in seconds.
+    pub fn hello(&self, member: &str, now_s: f64) -> Option<(f64, &Hello)> {
+        let (at, hello) = self.peers.get(member)?.hello.as_ref()?;
+        Some((now_s - at, hello))
+    }
+
+    /// What all peers said last.
+    pub fn hellos(&self, now_s: f64) -> impl Iterator<Item = (f64, &Hello)> {
+        let hellos = self.peers.values().filter_map(|p| p.hello.as_ref());
+        hellos.map(move |(at, hello)| (now_s - at, hello))
+    }
+
+    /// What is told to the others.
+    pub fn sights(&self, now_s: f64) -> Vec<Sight> {
+        let told = self.peers.iter().filter(|(_, p)| p.nonce != 0);
+        let sight = |(name, p): (&String, &Peer)| Sight {
+            member: name.clone(),
+            nonce: p.nonce,
+            heard_ms: p.arrivals.last_s().map(|at| ((now_s - at) * 1000.0).max(0.0) as u64),
+            refused: p.refused.is_some_and(|(_, n)| n >= self.limits.refusals),
+        };
+        told.map(sight).collect()
+    }
+
+    /// All others as candidates for the lead.
+    pub fn candidates(&self, now_s: f64) -> Vec<Candidate<'_>> {
+        let fresh_s = 2.0 * self.limits.round_s;
+        let mut out = Vec::new();
+        for (name, p) in &self.peers {
+            let Some((at, hello)) = p.hello.as_ref() else {
+                continue;
+            };
+            let age = now_s - at;
+            out.push(Candidate {
+                name,
+                trusted: p.standing == Standing::Trusted && p.term.is_some() && age < fresh_s,
+                fit: self.damping.fit(now_s, name),
+                late_s: hello.late_ms as f64 / 1000.0,
+                state_age_s: age + hello.state_age_ms as f64 / 1000.0,
+            });
+        }
+        out
+    }
+
+    fn doubt(&self, peer: &Peer, now_s: f64, own: &Own) -> Option<Why> {
+        let limits = &self.limits;
+        if peer.term.is_none() {
+            return (peer.nonce != 0).then_some(Why::Left);
+        }
+        if peer.refused.is_some_and(|(_, n)| n >= limits.refusals) {
+            return Some(Why::Refused);
+        }
+        if peer.arrivals.phi(now_s, own.late_s) > limits.phi {
+            return Some(Why::Silent);
+        }
+        // Who is late itself can't tell who else is.
+        if own.late_s >= limits.every_s {
+            return peer.why.filter(|w| matches!(w, Why::Slow | Why::Stalled));
+        }
+        let late = peer.late_since.map(|since| now_s - since)?;
+        let planned = peer.hello.as_ref().and_then(|(_, hello)| hello.planned_ms);
+        if planned.is_some_and(|ms| ms as f64 / 1000.0 > 3.0 * limits.round_s)
+            && late > limits.round_s
+        {
+            return Some(Why::Stalled);
+        }
+        (late > 3.0 * limits.round_s).then_some(Why::Slow)
+    }
+
+    /// Controllers whose word counts on a suspect: those that could be asked, those
+    /// that have the same doubt, and whether any has heard of it since the doubt.
+    fn witnesses(&self, name: &str, peer: &Peer, now_s: f64) -> (usize, usize, bool) {
+        let limits = &self.limits;
+        let (mut all, mut agree, mut heard) = (0, 0, false);
+        for (other, witness) in &self.peers {
+            let Some((at, hello)) = witness.hello.as_ref() else {
+                continue;
+            };
+            // Only what was said since the doubt began, by one that reaches the state
+            // service and is no suspect itself.
+            let fresh = *at >= peer.since_s && now_s - at < 2.0 * limits.round_s;
+            let able = (hello.state_age_ms as f64) < 2000.0 * limits.round_s;
+            if other == name || !fresh || !able || witness.standing != Standing::Trusted {
+                continue;
+            }
+            let sight = hello.sights.iter().find(|s| s.member == name && s.nonce == peer.nonce);
+            let Some(sight) = sight else {
+                continue;
+            };
+            all += 1;
+            let ago = sight.heard_ms.map(|ms| ms as f64 / 1000.0 + (now_s - at));
+            let since = now_s - peer.since_s;
+            heard |= ago.is_some_and(|ago| ago < since);
+            let silent = ago.is_none_or(|ago| ago > 4.0 * limits.every_s);
+            agree += usize::from(sight.refused || silent);
+        }
+        (all, agree, heard)
+    }
+
+    /// Whether a suspect's case is closed.
+    fn verdict(&self, name: &str, peer: &Peer, now_s: f64, own: &Own) -> (bool, usize, usize) {
+        let limits = &self.limits;
+        let since = now_s - peer.since_s;
+        let (all, agree, heard) = self.witnesses(name, peer, now_s);
+        // The judge must be whole itself.
+        let able = own.late_s < limits.round_s && own.state_age_s < since;
+        // An entry written before its end may be seen a little after.
+        let idle = peer.wrote_s < peer.since_s + limits.every_s / 2.0
+            || now_s - peer.wrote_s > 2.0 * limits.round_s;
+        let agreed = agree > 0 && 2 * agree > all && !heard;
+        let alone = self.peers.len() == 1;
+        let closed = match peer.why {
+            Some(Why::Left) => true,
+            Some(Why::Refused) if alone => able && idle && since >= 2.0 * limits.round_s,
+            Some(Why::Refused) => able && idle && agreed && since >= limits.every_s,
+            // Its lease is about to end, unless somebody lives there who renews it and
+            // does nothing else.
+            Some(Why::Silent) => able && idle && agreed && since >= 0.75 * limits.member_s,
+            Some(Why::Stalled) => able && since >= limits.round_s,
+            Some(Why::Slow) | None => false,
+        };
+        (closed, all, agree)
+    }
+
+    /// Whether one more verdict may be passed: in the time of a member lease no more
+    /// than half of all controllers are judged by evidence of ours. What the state
+    /// service says is not bounded.
+    fn may_judge(&mut self, now_s: f64) -> bool {
+        let span = self.limits.member_s;
+        self.verdicts.retain(|at| now_s - at < span);
+        2 * self.verdicts.len() < self.peers.len().max(2)
+    }
+
+    /// Works out all standings anew. Called a few times a second.
+    pub fn judge(&mut self, now_s: f64, own: Own) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let names: Vec<String> = self.peers.keys().cloned().collect();
+        for name in names {
+            let peer = &self.peers[&name];
+            let doubt = self.doubt(peer, now_s, &own);
+            let (closed, all, agree) = self.verdict(&name, peer, now_s, &own);
+            let back = peer.back_s.is_some_and(|at| now_s - at >= self.limits.member_s);
+            let to = match (peer.standing, doubt) {
+                (Standing::Trusted, None) => Standing::Trusted,
+                (Standing::Trusted, Some(Why::Left)) => Standing::Judged,
+                (Standing::Trusted, Some(_)) => Standing::Suspect,
+                (Standing::Suspect, None) => Standing::Trusted,
+                (Standing::Suspect, Some(Why::Left)) => Standing::Judged,
+                (Standing::Suspect, Some(why)) if closed && peer.why == Some(why) => {
+                    match self.may_judge(now_s) {
+                        true => Standing::Judged,
+                        false => Standing::Suspect,
+                    }
+                }
+                (Standing::Suspect, Some(_)) => Standing::Suspect,
+                // Another process, or the same one heard for a while: a late answer to
+                // an old suspicion does not undo what was done upon it.
+                (Standing::Judged, None) if peer.term != peer.doubted || back => Standing::Trusted,
+                (Standing::Judged, _) => Standing::Judged,
+            };
+            let peer = &self.peers[&name];
+            let (from, phi) = (peer.standing, peer.arrivals.phi(now_s, own.late_s));
+            let why = doubt.or(if to == Standing::Judged { peer.why } else { None });
+            if from == to && (why == peer.why || to == Standing::Judged) {
+                continue;
+            }
+            if to == Standing::Judged && why != Some(Why::Left) {
+                self.verdicts.push(now_s);
+                if let Some(term) = peer.term {
+                    self.damping.left(now_s, &name, term);
+                }
+            }
+            let Some(peer) = self.peers.get_mut(&name) else {
+                continue;
+            };
+            changes.push(Change {
+                member: name,
+                from,
+                to,
+                why,
+                after_s: now_s - peer.since_s,
+                phi,
+                witnesses: all,
+                agree,
+            });
+            (peer.standing, peer.why) = (to, why);
+            (peer.since_s, peer.doubted, peer.revision) = (now_s, peer.term, own.revision);
+            peer.back_s = None;
+        }
+        changes
+    }
+
+    /// Each peer with its standing, reason and evidence, for the administration.
+    pub fn told(&self, now_s: f64, own: Own) -> Vec<Told> {
+        let told = |(name, p): (&String, &Peer)| Told {
+            member: name.clone(),
+            standing: p.standing,
+            why: p.why,
+            since_s: tenths(now_s - p.since_s),
+            phi: tenths(p.arrivals.phi(now_s, own.late_s)),
+            heard_s: p.arrivals.last_s().map(|at| tenths(now_s - at)),
+            refused: p.refused.map_or(0, |(_, n)| n),
+            wrote_s: p.wrote_s.is_finite().then(|| tenths(now_s - p.wrote_s)),
+            late_ms: p.hello.as_ref().map_or(0, |(_, hello)| hello.late_ms),
+            departures: self.damping.count(now_s, name),
+            fit: self.damping.fit(now_s, name),
+        };
+        self.peers.iter().map(told).collect()
+    }
+}
+
+fn tenths(s: f64) -> f64 {
+    (s * 10.0).round() / 10.0
+}
+
+/// One peer as an operator sees it. Times are in seconds ago.
+#[derive(Debug, Clone, serde::Serialize)]
+pub struct Told {
+    pub member: String,
+    pub standing: Standing,
+    pub why: Option<Why>,
+    pub since_s: f64,
+    pub phi: f64,
+    pub heard_s: Option<f64>,
+    /// Greetings that its port refused in a row.
+    pub refused: u32,
+    /// When its latest entry in the log was seen.
+    pub wrote_s: Option<f64>,
+    pub late_ms: u64,
+    /// Departures that still lengthen its pause.
+    pub departures: usize,
+    /// Whether the pause after the latest is over.
+    pub fit: bool,
+}
--- a/crates/plan/src/blocks.rs
+++ b/crates/plan/src/blocks.rs
@@ -14,6 +14,10 @@
     pub settled: bool,
     /// What it does beside holding blocks, in machines held.
     pub extra: usize,
+    /// Neither suspect nor too slow: who is not gets nothing new while others are.
+    pub able: bool,
+    /// Too slow for what it has: it leaves its blocks, one at a time.
+    pub slow: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -28,6 +32,8 @@
     /// Its holder hears nothing of most of its machines, for the first time while
     /// their leases last: another may reach them.
     pub cut: bool,
+    /// Members at whom its machines turned up, by their places.
+    pub reached: Vec<usize>,
 }
 
 /// A block goes to its own zone if that leaves a controller at most so many times
@@ -51,21 +57,27 @@
     let extra: usize = members.iter().map(|m| m.extra).sum();
     let mean = (all + extra) as f64 / members.len() as f64;
     let mut out = Vec::new();
+    let any_able = members.iter().any(|m| m.able);
+    let able = |m: usize| members[m].able || !any_able;
     // Large ones first: small ones fill the gaps.
     let mut order: Vec<usize> = (0..blocks.len()).collect();
     order.sort_by_key(|i| (std::cmp::Reverse(blocks[*i].machines), *i));
     for &i in &order {
         let block = &blocks[i];
         let to = match block.holder {
-            Some(holder) if block.cut => least(&load, |m| m != holder),
+            // Those who are known to reach it first.
+            Some(holder) if block.cut => {
+                let reaches = |m: usize| m != holder && able(m) && block.reached.contains(&m);
+                least(&load, reaches).or_else(|| least(&load, |m| m != holder && able(m)))
+            }
             Some(_) => continue,
             None => {
                 let at_home = |m: usize| members[m].zone == block.zone;
                 let room = |m: usize| (load[m] + block.machines) as f64 <= HOME * mean;
                 // A small site has one block a zone: larger than a share, and
                 // still best at home.
-                let home = least(&load, |m| at_home(m) && (room(m) || load[m] == 0));
-                home.or_else(|| least(&load, |_| true))
+                let home = |m: usize| able(m) && at_home(m) && (room(m) || load[m] == 0);
+                least(&load, home).or_else(|| least(&load, able))
             }
         };
         let Some(to) = to else { continue };
@@ -95,7 +107,17 @@
     load: &[usize],
     mean: f64,
 ) -> Option<(usize, usize)> {
-    let settled = |m: usize| members[m].settled;
+    let settled = |m: usize| members[m].settled && members[m].able;
+    // Away from one that is too slow, to whoever has least, whatever is silent: what it
+    // can't answer seems silent to it.
+    let slow = order.iter().find_map(|&i| {
+        let from = blocks[i].holder.filter(|m| members[*m].slow)?;
+        let to = least(load, |m| m != from && settled(m) && !members[m].slow)?;
+        (blocks[i].machines > 0).then_some((i, to))
+    });
+    if slow.is_some() {
+        return slow;
+    }
     let mut best: Option<(usize, usize, usize)> = None;
     for &i in order {
         let block = &blocks[i];
@@ -147,6 +169,8 @@
             zone: ZONES[zone],
             settled: true,
             extra: 0,
+            able: true,
+            slow: false,
         }
     }
 
@@ -157,6 +181,7 @@
             holder,
             quiet: false,
             cut: false,
+            reached: Vec::new(),
         }
     }
 
@@ -238,6 +263,37 @@
         assert_eq!(lend(&members, &blocks, true), [(2, 0)]);
     }
 
+    /// A controller eight times slower than the others kept its blocks, and those who
+    /// came back at once were given what had just been lent anew.
+    #[test]
+    fn who_is_slow_leaves_its_blocks_and_who_is_suspect_gets_none() {
+        let mut members: Vec<_> = (0..3).map(|n| member("m", n)).collect();
+        (members[1].able, members[1].slow) = (false, true);
+        let mut blocks = vec![
+            block(0, 100, Some(0)),
+            block(1, 60, Some(1)),
+            block(1, 50, Some(1)),
+            block(2, 100, None),
+        ];
+        blocks[1].quiet = true;
+        members[2].able = false;
+        // Who could have it at home is suspect.
+        assert_eq!(lend(&members, &blocks, true), [(3, 0)]);
+        members[2].able = true;
+        blocks[3].holder = Some(2);
+        assert_eq!(settle(&members, &mut blocks), 2);
+        assert!(blocks.iter().all(|b| b.holder != Some(1)), "{blocks:?}");
+        // If all are, somebody must.
+        members.iter_mut().for_each(|m| m.able = false);
+        blocks[3].holder = None;
+        assert_eq!(lend(&members, &blocks, true).len(), 1);
+        // A block that is cut off goes to one who is known to reach it.
+        members.iter_mut().for_each(|m| (m.able, m.slow) = (true, false));
+        blocks[3] = block(2, 100, Some(2));
+        (blocks[3].cut, blocks[3].reached) = (true, vec![0]);
+        assert_eq!(lend(&members, &blocks, true), [(3, 0)]);
+    }
+
     /// A zone with most of the machines lends some to controllers elsewhere, and
     /// what it lends does not come back at once.
     #[test]
--- a/crates/rushwalk/src/admin.rs
+++ b/crates/rushwalk/src/admin.rs
@@ -36,6 +36,7 @@
 /// Leader, members, grants, machines by zone and type, waiting jobs by reason.
 #[handler]
 pub async fn status(node: Data<&Arc<Node>>) -> Response {
+    let own = crate::handover::own(&node);
     let view = node.view();
     let mut groups: BTreeMap<(&str, &str, bool), Count> = BTreeMap::new();
     for row in view.machines.values() {
@@ -85,6 +86,7 @@
         "leader": view.leader.as_ref().map(|(_, l)| l.member.clone()),
         "revision": view.revision, "state_age_s": age, "unreadable": view.unreadable,
         "snapshot": {"at": view.base.at, "chunks": view.base.chunks, "entries_since": view.entries},
+        "standings": lock(&node.detector).told(node.uptime(), own),
         "members": view.members.keys().collect::<Vec<_>>(),
         "grants": grants, "machines": machines,
         "up_s": up_s, "busy_s": busy_s, "late_ms": node.load.late().as_millis() as u64,
--- a/crates/rushwalk/src/days.rs
+++ b/crates/rushwalk/src/days.rs
@@ -4,10 +4,10 @@
 use crate::api;
 use crate::meter::Work;
 use crate::node::{Node, start};
-use poem::endpoint::EndpointExt;
-use poem::{Endpoint, Request};
+use poem::endpoint::{BoxEndpoint, EndpointExt};
+use poem::{Endpoint, Request, Response};
 use rushwalk_clients::Http;
-use rushwalk_testkit::world::Link;
+use rushwalk_testkit::world::{Door, Link};
 use rushwalk_testkit::{Fault, World};
 use rushwalk_wire::jobs::{JobSpec, JobState, Stance};
 use rushwalk_wire::settings::Settings;
@@ -43,11 +43,14 @@
     let mut settings = Settings::parse(SETTINGS).unwrap();
     let me = format!("node-{i}");
     settings.zone = ZONES[i].into();
+    // Addresses go by the place of a controller.
     for peer in &mut settings.peers {
         if peer.member == me {
             peer.member = settings.member.clone();
             peer.zone = ZONES[0].into();
         }
+        let number = peer.member.trim_start_matches("node-").parse().unwrap();
+        peer.endpoint = World::mesh_address(number);
     }
     settings.member = me;
     settings.site.teams[0].gpus_max = gpus;
@@ -56,6 +59,27 @@
     settings
 }
 
+/// An interface as the stand-ins call it.
+fn door(endpoint: BoxEndpoint<'static, Response>) -> Door {
+    let endpoint = Arc::new(endpoint);
+    Arc::new(move |method: String, path: String, body: Vec<u8>| {
+        let endpoint = endpoint.clone();
+        Box::pin(async move {
+            let request = Request::builder()
+                .method(method.parse().unwrap())
+                .uri(path.parse().unwrap())
+                .body(body);
+            let response = match endpoint.call(request).await {
+                Ok(response) => response,
+                Err(error) => error.into_response(),
+            };
+            let status = response.status().as_u16();
+            let body = response.into_body().into_bytes().await.unwrap_or_default();
+            (status, body.to_vec())
+        })
+    })
+}
+
 impl Day {
     fn new(seed: u64) -> Day {
         let report = Duration::from_secs(3);
@@ -91,26 +115,11 @@
             Http::over(Arc::new(link)),
         )
         .unwrap();
-        let door = Arc::new(api::routes(node.clone()).map_to_response().boxed());
-        let open = move |method: String, path: String, body: Vec<u8>| {
-            let door = door.clone();
-            let answer = async move {
-                let request = Request::builder()
-                    .method(method.parse().unwrap())
-                    .uri(path.parse().unwrap())
-                    .body(body);
-                let response = match door.call(request).await {
-                    Ok(response) => response,
-                    Err(error) => error.into_response(),
-                };
-                let status = response.status().as_u16();
-                let body = response.into_body().into_bytes().await.unwrap_or_default();
-                (status, body.to_vec())
-            };
-            Box::pin(answer) as std::pin::Pin<Box<dyn Future<Output = _> + Send>>
-        };
+        let public = api::routes(node.clone()).map_to_response().boxed();
+        let mesh = crate::mesh::routes(node.clone()).map_to_response().boxed();
         self.world.clear(Fault::Dead(i));
-        self.world.open(i, node.me(), Arc::new(open));
+        self.world.open(i, node.me(), door(public));
+        self.world.open_mesh(i, door(mesh));
         self.processes[i] = Some(Process {
             loops: start(&node),
             alive,
@@ -550,6 +559,6 @@
     process.loops.iter().for_each(JoinHandle::abort);
     let node = &process.node;
     let lease = node.state.lease(node.times.member).await.unwrap();
-    crate::sync::elect(node, lease).await;
+    crate::handover::elect(node, lease).await;
     assert!(!day.world.holds("w/leader"));
 }
--- a/crates/rushwalk/src/fleet.rs
+++ b/crates/rushwalk/src/fleet.rs
@@ -6,6 +6,7 @@
 mod placing;
 mod sizing;
 
+use crate::handover;
 use crate::leader::append;
 use crate::meter::Work;
 use crate::node::{For, Node, lock, now_ms};
@@ -71,7 +72,9 @@
         let _turn = node.meter.turn(Work::Place);
         let view = node.view();
         let mut memory = lock(&node.leading);
-        let mut ops = assign(&view, &round, &decisions, now);
+        let mut ops = assign(&view, &round, &decisions, now, |block| {
+            handover::takes_more(node, &view, block)
+        });
         memory.waits = decisions.waits.into_iter().collect();
         ops.extend(overdue(&view, &mut memory, &mut round, &types, now));
         ops
--- a/crates/rushwalk/src/fleet/placing.rs
+++ b/crates/rushwalk/src/fleet/placing.rs
@@ -140,8 +140,17 @@
 }
 
 /// Gives tasks that can start now to the blocks of their machines.
-pub fn assign(view: &View, round: &Round, decisions: &Decisions, now: u64) -> Vec<Op> {
+/// Not to a block that takes no more work, whose holder is gone or suspect: the place is
+/// kept for the time of this round, since renting another would be more than that costs.
+pub fn assign(
+    view: &View,
+    round: &Round,
+    decisions: &Decisions,
+    now: u64,
+    takes_more: impl Fn(&str) -> bool,
+) -> Vec<Op> {
     let mut ops = Vec::new();
+    let mut blocks: BTreeMap<&str, bool> = BTreeMap::new();
     for placed in decisions.placed.chunk_by(|a, b| a.uid == b.uid) {
         let Some((uid, job)) = view.jobs.get_key_value(&*placed[0].uid) else {
             continue;
@@ -149,9 +158,17 @@
         let mut to: BTreeMap<Name, Vec<(u32, Name)>> = BTreeMap::new();
         for one in placed {
             let slot = &round.slots[one.slot];
+            let open = blocks.entry(&slot.block);
+            if !*open.or_insert_with(|| takes_more(&slot.block)) {
+                continue;
+            }
             let task = (one.index, slot.name.clone());
             to.entry(slot.block.clone()).or_default().push(task);
         }
+        let whole = to.values().map(Vec::len).sum::<usize>() == placed.len();
+        if to.is_empty() || (job.spec.shape == Shape::Gang && !whole) {
+            continue;
+        }
         if job.spec.shape == Shape::Gang {
             tracing::info!(job = &**uid, tasks = placed.len(), "gang assigned");
         }
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -465,13 +465,20 @@
                 session: worker.session,
                 commands,
             };
-            tokio::spawn(direct(node.clone(), name.clone(), address, commands));
+            let block = row.machine.block.clone();
+            tokio::spawn(direct(node.clone(), name.clone(), address, block, commands));
         }
     }
     again
 }
 
-async fn direct(node: Arc<Node>, name: Name, address: String, commands: DirectCommands) {
+async fn direct(
+    node: Arc<Node>,
+    name: Name,
+    address: String,
+    block: Name,
+    commands: DirectCommands,
+) {
     let patience = node.times.round * 3;
     let result = node.workers.command(&address, &commands, patience).await;
     let mut reports = lock(&node.reports);
@@ -479,7 +486,10 @@
     let worker = reports.of(&name);
     worker.inflight = false;
     match result {
-        Ok((_, report)) => worker.take(&report, false),
+        Ok((_, report)) => {
+            worker.take(&report, false);
+            reports.blocks.insert(block, Instant::now());
+        }
         Err(Error::Unknown(error)) => {
             tracing::debug!(machine = &*name, error, "direct commands unanswered");
             let starts = |c: &Command| matches!(c, Command::Run { .. });
@@ -517,6 +527,7 @@
     worker.inflight = false;
     if let Ok(report) = result {
         worker.take(&report, false);
+        reports.blocks.insert(block, Instant::now());
     }
 }
 
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -3,11 +3,13 @@
 //! version of the leader key.
 
 use crate::fleet;
+use crate::handover::{self, Reach};
 use crate::meter::Work;
 use crate::node::{For, Node, lock, now_ms};
 use crate::slots;
 use crate::view::{JobRow, Name, TaskRow, View};
 use rushwalk_clients::state::Outcome;
+use rushwalk_detect::Standing;
 use rushwalk_plan::blocks::{self, Block, Member};
 use rushwalk_plan::market::{Kind, Lack, Market};
 use rushwalk_wire::jobs::Shape;
@@ -42,6 +44,8 @@
     pub late: usize,
     /// When a block was last taken from a holder that was cut off.
     moved: HashMap<Name, Instant>,
+    /// When a block was last taken from a holder to whom its machines don't come.
+    strayed: HashMap<Name, Instant>,
     /// When a block was last moved for being better off elsewhere.
     settled: Option<Instant>,
     /// Tasks restarted once because they were overdue.
@@ -71,11 +75,14 @@
             && !uncertain
         {
             round(&node, version).await;
+            *lock(&node.planned) = Some(Instant::now());
         }
         // A round each second or so; one that took long leaves as much time
         // to the others on this thread.
         let spent = started.elapsed();
-        sleep(node.times.round.saturating_sub(spent).max(spent)).await;
+        let pause = node.times.round.saturating_sub(spent).max(spent);
+        // Who has just come to lead begins at once.
+        let _ = tokio::time::timeout(pause, node.led.notified()).await;
     }
 }
 
@@ -92,17 +99,18 @@
         };
         if let Some(version) = leading
             && !lock(&node.leading).uncertain
-            && let Some((txn, needed)) = {
+            && let Some((txn, needed, strayed)) = {
                 let _turn = node.meter.turn(Work::Lend);
                 lend(&node, version)
             }
         {
             if commit(&node, txn, For::Order).await {
                 let (now, mut memory) = (Instant::now(), lock(&node.leading));
-                match needed.is_empty() {
+                match needed.is_empty() && strayed.is_empty() {
                     true => memory.settled = Some(now),
                     false => memory.moved.extend(needed.into_iter().map(|b| (b, now))),
                 }
+                memory.strayed.extend(strayed.into_iter().map(|b| (b, now)));
             }
             node.fresh(node.times.round).await;
         }
@@ -157,29 +165,44 @@
 }
 
 /// Lends blocks that nobody holds, or whose holder is cut off from them, and one
-/// that is better off elsewhere. With those that had a holder and needed another.
-fn lend(node: &Node, version: u64) -> Option<(Transaction, Vec<Name>)> {
+/// that is better off elsewhere. With those that had a holder and needed another, and
+/// those whose machines turned up elsewhere.
+fn lend(node: &Node, version: u64) -> Option<(Transaction, Vec<Name>, Vec<Name>)> {
+    let reach = Reach::now(node);
     let view = node.view();
     let now = now_ms();
-    // A member that has just come back gets its zone after a while only.
-    let settled = node.times.member.as_millis() as u64;
-    let names: Vec<&String> = view.members.keys().collect();
+    let detector = lock(&node.detector);
+    let uptime = node.uptime();
+    // One that is judged has nothing, whether or not its lease lasts.
+    let there = |(name, m): &(&String, &rec::Member)| !detector.judged(name, m.nonce);
+    let names: Vec<&String> = view.members.iter().filter(there).map(|m| m.0).collect();
     // Leading takes about as much as half a share of the machines.
     let share = view.machines.len() / names.len().max(1) / 2;
     let members: Vec<Member> = (view.members.iter())
-        .map(|(name, m)| Member {
-            name,
-            zone: &m.zone,
-            settled: now > m.since_ms + settled,
-            extra: if name == node.me() { share } else { 0 },
+        .filter(there)
+        .map(|(name, m)| {
+            // A member that has just come back gets its zone after a while only, which
+            // grows if it comes and goes.
+            let pause = (detector.damping.pause_s(uptime, name) * 1000.0) as u64;
+            let slow = detector.slow(name);
+            Member {
+                name,
+                zone: &m.zone,
+                settled: now > m.since_ms + pause && detector.damping.fit(uptime, name),
+                extra: if name == node.me() { share } else { 0 },
+                able: detector.standing(name) == Standing::Trusted && !slow,
+                slow,
+            }
         })
         .collect();
+    drop(detector);
     // Every zone has a block, before its first machine.
     let zones = node.settings.site.zones.iter().map(|z| z.as_str().into());
     let blocks: BTreeSet<Name> = zones.chain(view.blocks.keys().cloned()).collect();
     let blocks: Vec<Name> = blocks.into_iter().collect();
     let memory = lock(&node.leading);
     let lately = |at: Option<&Instant>, span: Duration| at.is_some_and(|at| at.elapsed() < span);
+    let mut strayed = Vec::new();
     let lent: Vec<Block> = (blocks.iter())
         .map(|block| {
             let grant = view.grants.get(block).map(|(_, g)| g);
@@ -189,12 +212,25 @@
             // nothing either, the machines are cut off, and each new holder would
             // have to wait anew for their leases to run out.
             let moved = lately(memory.moved.get(block), node.times.lease + node.times.loan);
+            // That they turn up at somebody else shows that they can be reached.
+            let again = lately(memory.strayed.get(block), node.times.member);
+            let (up, silent) = view.pulse(block);
+            let at = valid.filter(|_| !again).map(|g| {
+                reach.elsewhere(block, &g.holder, up.saturating_sub(silent))
+            });
+            let at = at.unwrap_or_default();
+            let place = |name: &&str| names.binary_search_by(|n| n.as_str().cmp(name)).ok();
+            if !at.is_empty() {
+                strayed.push(block.clone());
+            }
             Block {
                 zone: zone_of(block),
                 machines: view.blocks.get(block).map_or(0, BTreeSet::len),
                 holder: valid.and_then(|g| names.binary_search(&&g.holder).ok()),
                 quiet: view.pulse(block).1 > 0,
-                cut: valid.is_some() && !moved && mostly_silent(&view, block),
+                cut: !at.is_empty()
+                    || valid.is_some() && !moved && mostly_silent(&view, block),
+                reached: at.iter().filter_map(place).collect(),
             }
         })
         .collect();
@@ -210,15 +246,24 @@
         let Some(member) = view.members.get(to) else {
             continue;
         };
-        if (lent[i].cut || lent[i].holder.is_none()) && view.grants.contains_key(block) {
+        let taken = lent[i].cut && !strayed.contains(block) || lent[i].holder.is_none();
+        if taken && view.grants.contains_key(block) {
             needed.push(block.clone());
         }
+        let why = why(&lent[i], &members);
         tracing::info!(
             block = &**block,
             to,
             machines = lent[i].machines,
+            why,
             "block lent"
         );
+        if lent[i].cut
+            && strayed.contains(block)
+            && let Some((_, grant)) = view.grants.get(block)
+        {
+            handover::lost_reach(node, &grant.holder, grant.nonce);
+        }
         let key = rec::grant_key(block);
         let grant = rec::Grant {
             holder: to.into(),
@@ -226,7 +271,18 @@
         };
         txn = txn.when(&key, view.version(&key)).put(&key, &grant);
     }
-    (!txn.writes.is_empty()).then_some((txn, needed))
+    (!txn.writes.is_empty()).then_some((txn, needed, strayed))
+}
+
+/// Why a block is lent anew, for the log.
+fn why(block: &Block, members: &[Member]) -> &'static str {
+    match block.holder {
+        None => "it has no holder",
+        Some(_) if !block.reached.is_empty() => "its machines come to others",
+        Some(_) if block.cut => "its machines are silent",
+        Some(holder) if members[holder].slow => "its holder is too slow",
+        Some(_) => "balance",
+    }
 }
 
 /// So many jobs that fail on a machine, with none finishing in between, show that
--- a/crates/rushwalk/src/main.rs
+++ b/crates/rushwalk/src/main.rs
@@ -5,6 +5,7 @@
 mod cloud;
 mod fleet;
 mod gate;
+mod handover;
 mod holder;
 mod leader;
 mod load;
--- a/crates/rushwalk/src/mesh.rs
+++ b/crates/rushwalk/src/mesh.rs
@@ -1,6 +1,7 @@
 //! What controllers tell each other. It only helps; nothing relies on it.
 
 use crate::api;
+use crate::handover;
 use crate::node::{Node, lock};
 use poem::http::StatusCode;
 use poem::web::Data;
@@ -8,8 +9,9 @@
 use rushwalk_wire::MAX_BODY;
 use rushwalk_wire::mesh::{AskJob, Change, Changed, Hello, JobAnswer, decode, encode};
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use rushwalk_clients::Error;
+use rushwalk_detect::{Contact, Standing};
+use tokio::time::sleep;
 
 pub fn routes(node: Arc<Node>) -> impl Endpoint {
     Route::new()
@@ -22,10 +24,20 @@
 }
 
 fn ours(node: &Node) -> Hello {
+    // One lock at a time.
+    let revision = node.view().revision;
+    let sights = lock(&node.detector).sights(node.uptime());
+    let strays = lock(&node.strays).told(node.uptime(), node.times.report.as_secs_f64());
     Hello {
         member: node.me().into(),
         state_age_ms: u64::try_from(node.state_age().as_millis()).unwrap_or(u64::MAX),
-        revision: node.view().revision,
+        revision,
+        nonce: node.nonce,
+        late_ms: node.load.late().as_millis() as u64,
+        planned_ms: handover::planned(node).map(|age| age.as_millis() as u64),
+        sights,
+        deaf: handover::deaf(node),
+        strays,
     }
 }
 
@@ -38,7 +50,7 @@
     let Some(hello) = decode::<Hello>(&body) else {
         return Response::builder().status(StatusCode::BAD_REQUEST).finish();
     };
-    heard(&node, hello);
+    lock(&node.detector).greeted(node.uptime(), hello);
     Response::builder().body(encode(&ours(&node)))
 }
 
@@ -59,14 +71,16 @@
     Response::builder().body(encode(&JobAnswer { state }))
 }
 
-/// Peers that lately reached the state service.
+/// Peers that lately reached the state service, and are no suspects.
 fn able(node: &Node) -> Vec<String> {
-    let limit = node.times.round * 4;
-    let peers = lock(&node.peers);
+    let limit = node.times.round.as_secs_f64() * 4.0;
+    let detector = lock(&node.detector);
     let able = |p: &&rushwalk_wire::settings::Peer| {
-        peers.get(&p.member).is_some_and(|(at, hello)| {
-            at.elapsed() < limit && Duration::from_millis(hello.state_age_ms) < limit
-        })
+        let hello = detector.hello(&p.member, node.uptime());
+        detector.standing(&p.member) == Standing::Trusted
+            && hello.is_some_and(|(age, hello)| {
+                age < limit && (hello.state_age_ms as f64) < limit * 1000.0
+            })
     };
     let list = node.settings.peers.iter().filter(able);
     list.map(|p| p.endpoint.clone()).collect()
@@ -123,26 +137,39 @@
     None
 }
 
-fn heard(node: &Node, hello: Hello) {
-    let known = node.settings.peers.iter().any(|p| p.member == hello.member);
-    if known {
-        lock(&node.peers).insert(hello.member.clone(), (Instant::now(), hello));
-    }
-}
-
+/// Greets each peer in a loop of its own: one that hangs must not keep the others from
+/// being heard.
 pub async fn hello_loop(node: Arc<Node>) {
-    loop {
-        for peer in &node.settings.peers {
-            let hello = ours(&node);
-            let patience = node.times.round / 2;
-            let call = node
-                .mesh
-                .ask::<_, Hello>(&peer.endpoint, "/mesh/hello", &hello, patience);
-            if let Ok(answer) = call.await {
-                heard(&node, answer);
+    let each = |peer: &rushwalk_wire::settings::Peer| {
+        let (node, peer) = (node.clone(), peer.clone());
+        async move {
+            loop {
+                sleep(node.times.greet).await;
+                greet_one(&node, &peer).await;
             }
         }
-        sleep(node.times.round).await;
+    };
+    let mut all: tokio::task::JoinSet<()> = node.settings.peers.iter().map(each).collect();
+    // None of them ends; if this loop does, they end with it.
+    all.join_next().await;
+}
+
+async fn greet_one(node: &Node, peer: &rushwalk_wire::settings::Peer) {
+    let hello = ours(node);
+    let call = node
+        .mesh
+        .ask::<_, Hello>(&peer.endpoint, "/mesh/hello", &hello, node.times.round);
+    let answer = call.await;
+    let mut detector = lock(&node.detector);
+    let now = node.uptime();
+    match answer {
+        Ok(hello) => detector.answered(now, hello),
+        Err(Error::Refused) => detector.failed(now, &peer.member, Contact::Refused),
+        // A kept connection that broke says nothing: the next greeting opens one.
+        Err(Error::Unknown(_) | Error::NotSent(_)) => {
+            detector.failed(now, &peer.member, Contact::Silent);
+        }
+        Err(Error::Status(_) | Error::TooLarge) => {}
     }
 }
 
@@ -158,8 +185,9 @@
     }
     // In an outage all ages grow alike, and a peer's is known as of its last
     // message: only one that is well below the limit by now is better off.
-    let peers = lock(&node.peers);
-    !peers
-        .values()
-        .any(|(at, hello)| at.elapsed() + Duration::from_millis(hello.state_age_ms) < limit / 2)
+    let detector = lock(&node.detector);
+    let age = |(at, hello): (f64, &Hello)| at + hello.state_age_ms as f64 / 1000.0;
+    !detector
+        .hellos(node.uptime())
+        .any(|told| age(told) < limit.as_secs_f64() / 2.0)
 }
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -12,11 +12,11 @@
 use rushwalk_clients::budget::Budget;
 use rushwalk_clients::state::{Outcome, State};
 use rushwalk_clients::{Http, cloud::Cloud, mesh::Mesh, worker::Workers};
+use rushwalk_detect::reach::Strays;
+use rushwalk_detect::{Detector, Limits};
 use rushwalk_plan::predict::Averages;
-use rushwalk_wire::mesh::Hello;
 use rushwalk_wire::settings::Settings;
 use rushwalk_wire::state::Transaction;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -34,6 +34,8 @@
     /// The member lease: its end shows the others that this node is gone.
     pub member: Duration,
     pub round: Duration,
+    /// Between two greetings of the same peer.
+    pub greet: Duration,
     pub report: Duration,
     pub lease: Duration,
     /// A machine silent for this long is suspect.
@@ -46,10 +48,14 @@
     pub fn new(settings: &Settings) -> Times {
         let w = &settings.site.workers;
         let secs = Duration::from_secs_f64;
+        let round = (w.report_s / 3.0).min(w.lease_s / 40.0);
+        // With many peers each is greeted less often: others tell of them too.
+        let many = (settings.peers.len() as f64 / 4.0).max(1.0);
         Times {
             loan: secs(0.8 * (w.cancel_s - w.lease_s)),
             member: secs((2.0 * w.report_s).min(w.lease_s / 7.0).max(1.0)),
-            round: secs((w.report_s / 3.0).min(w.lease_s / 40.0)),
+            round: secs(round),
+            greet: secs(round / 3.0 * many),
             report: secs(w.report_s),
             lease: secs(w.lease_s),
             silent: secs((3.0 * w.report_s).min(w.lease_s / 3.0)),
@@ -70,7 +76,14 @@
     pub view: Mutex<View>,
     pub reports: Mutex<Reports>,
     pub leading: Mutex<LeaderMemory>,
-    pub peers: Mutex<HashMap<String, (Instant, Hello)>>,
+    /// What this controller thinks of the others.
+    pub detector: Mutex<Detector>,
+    /// Workers of others' blocks that turned up here.
+    pub strays: Mutex<Strays>,
+    /// When the latest planning round was finished, or the lead was taken.
+    pub planned: Mutex<Option<Instant>>,
+    /// The lead was taken: the first round need not wait for its turn.
+    pub led: Notify,
     pub write_budget: Mutex<Budget>,
     pub slots: Mutex<Slots>,
     /// Users' changes on their way into the log.
@@ -150,6 +163,8 @@
         tokio::spawn(crate::cloud::list_loop(node.clone())),
         tokio::spawn(crate::snapshot::snapshot_loop(node.clone())),
         tokio::spawn(crate::mesh::hello_loop(node.clone())),
+        tokio::spawn(crate::handover::standing_loop(node.clone())),
+        tokio::spawn(crate::handover::lead_loop(node.clone())),
         tokio::spawn(tell_loop(node.clone())),
         tokio::spawn(node.load.clone().watch_loop()),
         tokio::spawn(node.seats.clone().sweep_loop(node.times.lease)),
@@ -184,6 +199,15 @@
         let share = writes / (1.0 + settings.peers.len() as f64);
         let averages = Averages::new(10, 0.25 * settings.site.workers.report_s);
         let (users, queue) = mpsc::channel(1024);
+        let limits = Limits {
+            every_s: times.greet.as_secs_f64(),
+            round_s: times.round.as_secs_f64(),
+            member_s: times.member.as_secs_f64(),
+            phi: 8.0,
+            refusals: 2,
+        };
+        let peers = settings.peers.iter().map(|p| p.member.as_str());
+        let detector = Detector::new(limits, peers, 0.0);
         Ok(Arc::new(Node {
             nonce: rand::random::<u64>() >> 12,
             state: State::new(http.clone(), state),
@@ -193,7 +217,10 @@
             view: Mutex::new(View::new(averages)),
             reports: Mutex::default(),
             leading: Mutex::default(),
-            peers: Mutex::default(),
+            detector: Mutex::new(detector),
+            strays: Mutex::default(),
+            planned: Mutex::default(),
+            led: Notify::new(),
             write_budget: Mutex::new(Budget::shared(share, writes, now)),
             slots: Mutex::default(),
             users,
--- a/crates/rushwalk/src/reports.rs
+++ b/crates/rushwalk/src/reports.rs
@@ -1,5 +1,6 @@
 //! What workers last said, and what they are told.
 
+use crate::handover;
 use crate::node::{Node, Times, lock, now_ms};
 use crate::view::{Name, View};
 use rushwalk_wire::jobs::{parse_task, task_name};
@@ -14,6 +15,10 @@
     pub all: HashMap<Name, Heard>,
     /// Those that said something since somebody looked.
     pub dirty: BTreeSet<Name>,
+    /// When any machine of a block lent to us was last heard.
+    pub blocks: HashMap<Name, Instant>,
+    /// Blocks lent to us, with the token and since when.
+    pub lent: HashMap<Name, (u64, Instant)>,
 }
 
 impl Reports {
@@ -223,8 +228,10 @@
     let block = &row.machine.block;
     let Some(token) = node.token(&view, block) else {
         return match view.grants.get(block) {
-            Some((_, grant)) if grant.holder != node.me() => {
-                Reply::Elsewhere(Some(grant.holder.clone()))
+            Some((token, grant)) if grant.holder != node.me() => {
+                let now = node.uptime();
+                lock(&node.strays).turned_up(now, block, *token, name);
+                Reply::Elsewhere(handover::steward(node, block, grant))
             }
             _ => {
                 // Not entitled to answer, but it shows that the worker lives.
@@ -240,6 +247,7 @@
     }
     let mut reports = lock(&node.reports);
     reports.dirty.insert(name.clone());
+    reports.blocks.insert(block.clone(), Instant::now());
     let worker = reports.of(name);
     worker.take(report, true);
     // A late report is no base for commands, but it may be answered.
--- a/crates/rushwalk/src/sync.rs
+++ b/crates/rushwalk/src/sync.rs
@@ -1,11 +1,11 @@
-//! Keeping the view new, the member lease alive, and a leader elected.
+//! Keeping the view new, and the member lease and key alive.
 
 use crate::meter::Work;
 use crate::node::{For, Node, lock, now_ms};
 use crate::view::View;
 use rushwalk_clients::Error;
 use rushwalk_clients::state::Outcome;
-use rushwalk_wire::records::{self as rec, LEADER, ROOT};
+use rushwalk_wire::records::{self as rec, ROOT};
 use rushwalk_wire::state::{Changes, Transaction};
 use std::sync::Arc;
 use std::time::Duration;
@@ -138,7 +138,7 @@
     }
 }
 
-/// Keeps the member lease and key; leads when nobody else does.
+/// Keeps the member lease and key.
 pub async fn member_loop(node: Arc<Node>) {
     let every = node.times.member / 5;
     loop {
@@ -170,19 +170,10 @@
                         sleep(every / 8).await;
                         continue;
                     }
-                    elect(&node, lease).await;
                 }
             }
         }
-        // A leader's end is noticed soon, not with the next renewal.
-        let until = Instant::now() + every;
-        while Instant::now() < until {
-            sleep(every / 8).await;
-            if node.view().leader.is_none() {
-                sleep(Duration::from_millis(rand::random::<u64>() % 100)).await;
-                break;
-            }
-        }
+        sleep(every).await;
     }
 }
 
@@ -210,48 +201,3 @@
         _ => {}
     }
 }
-
-/// Takes the lead if nobody has it. A leader that was no member as yet lent all
-/// blocks to others.
-pub async fn elect(node: &Node, lease: u64) {
-    if !node.registered() {
-        return;
-    }
-    let nonce = rand::random::<u64>() >> 12;
-    let txn = {
-        let view = node.view();
-        let mine = node.leadership(&view).is_some();
-        let (uncertain, nonce_known) = {
-            let memory = lock(&node.leading);
-            (memory.uncertain, memory.nonce)
-        };
-        match &view.leader {
-            // Our own earlier process, or commits of ours that may come late.
-            Some((_, l)) if l.member == node.me() && !mine && Some(l.nonce) == nonce_known => {
-                // Ours, and only not yet caught up with.
-                return;
-            }
-            Some((_, l)) if l.member == node.me() && (!mine || uncertain) => {}
-            Some(_) => return,
-            None => {}
-        }
-        let leader = rec::Leader {
-            member: node.me().into(),
-            nonce,
-        };
-        Transaction::default()
-            .when(LEADER, view.version(LEADER))
-            .put_leased(LEADER, &leader, lease)
-    };
-    lock(&node.leading).nonce = Some(nonce);
-    match node.commit(txn, For::Order).await {
-        Outcome::Done(revision) => {
-            lock(&node.leading).uncertain = false;
-            tracing::info!(revision, "leading");
-            node.reached(revision, node.times.round * 2).await;
-        }
-        Outcome::NoLease => *lock(&node.member_lease) = None,
-        // The next turn looks at what came of it.
-        _ => {}
-    }
-}
--- a/crates/rushwalk/src/view.rs
+++ b/crates/rushwalk/src/view.rs
@@ -95,6 +95,9 @@
     pub leader: Option<(u64, rec::Leader)>,
     pub members: BTreeMap<String, rec::Member>,
     pub grants: BTreeMap<Name, (u64, rec::Grant)>,
+    /// The newest revision at which each controller was seen to write: an entry, or
+    /// its member key.
+    pub wrote: BTreeMap<String, u64>,
     /// Versions of the keys that are not in the log.
     versions: HashMap<String, u64>,
     /// Versions of the log's keys.
@@ -160,6 +163,7 @@
             leader: None,
             members: BTreeMap::new(),
             grants: BTreeMap::new(),
+            wrote: BTreeMap::new(),
             versions: HashMap::new(),
             log: HashMap::new(),
             types: None,
@@ -252,7 +256,10 @@
             }
             match (event.put, event.value, event.delete) {
                 (Some(key), Some(value), _) => {
-                    if key.starts_with("w/l/") {
+                    if let Some(path) = key.strip_prefix("w/l/") {
+                        if let Some((member, _)) = path.split_once('/') {
+                            self.wrote_at(member, event.version);
+                        }
                         self.entry(&key, &value, event.version, now_ms, false);
                         self.log.insert(key, event.version);
                     } else {
@@ -266,6 +273,15 @@
         self.revision = known.max(answer.revision);
     }
 
+    fn wrote_at(&mut self, member: &str, revision: u64) {
+        match self.wrote.get_mut(member) {
+            Some(at) => *at = revision,
+            None => {
+                self.wrote.insert(member.to_string(), revision);
+            }
+        }
+    }
+
     fn fail(&mut self, key: &str) {
         if self.unreadable.is_none() {
             tracing::error!(key, "unreadable record, or of another layout: no decisions");
@@ -297,6 +313,7 @@
             }),
             Some(("m", member)) => read(value).map(|record| {
                 self.members.insert(member.into(), record);
+                self.wrote_at(member, version);
             }),
             // A snapshot says nothing that is not known already.
             Some(("s", _)) => return,
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -149,11 +149,17 @@
     }
 }
 
+/// How long a worker waits before it reports to a controller that it was sent to, and
+/// before it tries the next one.
+const ELSEWHERE: Duration = Duration::from_millis(250);
+const NEXT: Duration = Duration::from_secs(1);
+
 /// The life of a worker, from its start until its machine is deleted.
 pub async fn live(world: Arc<World>, index: usize, lease: Duration, every: Duration) {
     let mut node = 0;
+    let mut pause = every;
     loop {
-        sleep(every).await;
+        sleep(std::mem::replace(&mut pause, every)).await;
         let (report, sent) = {
             let mut workers = world.workers();
             let worker = &mut workers[index];
@@ -182,12 +188,12 @@
             Some((421, body)) => {
                 let to: Option<Elsewhere> = serde_json::from_slice(&body).ok();
                 let named = to.and_then(|t| t.report_to);
-                node = match named.and_then(|n| world.node_named(&n)) {
-                    Some(named) if named != node => named,
-                    _ => (node + 1) % world.nodes_len(),
+                (node, pause) = match named.and_then(|n| world.node_named(&n)) {
+                    Some(named) if named != node => (named, ELSEWHERE),
+                    _ => ((node + 1) % world.nodes_len(), NEXT),
                 };
             }
-            _ => node = (node + 1) % world.nodes_len(),
+            _ => (node, pause) = ((node + 1) % world.nodes_len(), NEXT),
         }
     }
 }
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -37,6 +37,14 @@
     NoState(usize),
     /// Messages between this controller and workers are held, then delivered.
     HeldFromWorkers(usize),
+    /// No message passes between this controller and workers, nor does any come late.
+    NoWorkers(usize),
+    /// Greetings from the first controller to the second are lost, one way.
+    Deaf(usize, usize),
+    /// Connections between controllers are refused.
+    PeersRefuse,
+    /// This controller stands still for the others: nothing it sends or is sent passes.
+    Frozen(usize),
     /// The state service is down for all.
     Outage,
     /// Some commits are carried out, but their answers are lost.
@@ -51,6 +59,8 @@
     workers: Mutex<Vec<Worker>>,
     rules: Mutex<Rules>,
     doors: Mutex<Vec<Option<(String, Door)>>>,
+    /// What the controllers open to each other.
+    mesh: Mutex<Vec<Option<Door>>>,
     faults: Mutex<HashSet<Fault>>,
     asked: Mutex<HashMap<String, Vec<String>>>,
     random: Mutex<SmallRng>,
@@ -81,6 +91,7 @@
             workers: Mutex::default(),
             rules: Mutex::default(),
             doors: Mutex::new(vec![None; nodes]),
+            mesh: Mutex::new(vec![None; nodes]),
             faults: Mutex::default(),
             asked: Mutex::default(),
             random: Mutex::new(SmallRng::seed_from_u64(seed)),
@@ -133,6 +144,41 @@
         lock(&self.doors)[node] = Some((name.to_string(), door));
     }
 
+    pub fn open_mesh(&self, node: usize, door: Door) {
+        lock(&self.mesh)[node] = Some(door);
+    }
+
+    /// The address that a controller opens to the others.
+    pub fn mesh_address(node: usize) -> String {
+        format!("10.0.{}.{}:8081", node / 250, node % 250 + 1)
+    }
+
+    /// A message from one controller to another; `None` if nobody answers.
+    async fn between(
+        &self,
+        from: usize,
+        to: SocketAddr,
+        path: String,
+        body: Vec<u8>,
+    ) -> Option<Result<(u16, Vec<u8>), Error>> {
+        sleep(Duration::from_millis(1)).await;
+        let std::net::IpAddr::V4(ip) = to.ip() else {
+            return None;
+        };
+        let [_, _, high, low] = ip.octets();
+        let to = usize::from(high) * 250 + usize::from(low) - 1;
+        if self.has(Fault::Frozen(to)) || self.has(Fault::Deaf(from, to)) {
+            return None;
+        }
+        let door = lock(&self.mesh).get(to)?.clone();
+        if self.has(Fault::PeersRefuse) || self.has(Fault::Dead(to)) || door.is_none() {
+            return Some(Err(Error::Refused));
+        }
+        let answer = door?("POST".into(), path, body).await;
+        let lost = self.has(Fault::Frozen(to)) || self.has(Fault::Deaf(to, from));
+        (!lost).then_some(Ok(answer))
+    }
+
     pub fn set(&self, fault: Fault) {
         lock(&self.faults).insert(fault);
     }
@@ -171,7 +217,7 @@
         path: &str,
         body: Vec<u8>,
     ) -> Option<(u16, Vec<u8>)> {
-        if self.has(Fault::Dead(node)) {
+        if self.has(Fault::Dead(node)) || self.has(Fault::Frozen(node)) {
             return None;
         }
         let door = lock(&self.doors)[node].as_ref().map(|d| d.1.clone())?;
@@ -181,6 +227,11 @@
     /// A worker's report to a controller.
     pub async fn beat(&self, node: usize, report: &Report) -> Option<(u16, Vec<u8>)> {
         self.held(node).await;
+        if self.has(Fault::NoWorkers(node)) {
+            // Nobody answers; the worker gives up after 4 s.
+            sleep(Duration::from_secs(4)).await;
+            return None;
+        }
         let body = serde_json::to_vec(report).ok()?;
         let answer = self.ask(node, "POST", "/agent/beat", body).await;
         self.held(node).await;
@@ -351,6 +402,9 @@
             lock(&self.asked_at).push(Instant::now());
         }
         self.held(node).await;
+        if self.has(Fault::NoWorkers(node)) {
+            return None;
+        }
         let (status, report) = {
             let mut workers = self.workers();
             let worker = workers
@@ -380,24 +434,26 @@
         // A request goes on when its sender gives up: it may be carried out late.
         let (tell, told) = tokio::sync::oneshot::channel();
         tokio::spawn(async move {
-            if !alive.load(Ordering::Relaxed) {
+            if !alive.load(Ordering::Relaxed) || world.has(Fault::Frozen(node)) {
                 return;
             }
             let answer = match to.port() {
-                2379 => Some(world.state(node, &method, &path, &body).await),
-                8443 => Some(world.clone().cloud(&path, &body).await),
-                9000 => world.direct(node, to, &path, &body).await,
+                2379 => Some(Ok(world.state(node, &method, &path, &body).await)),
+                8443 => Some(Ok(world.clone().cloud(&path, &body).await)),
+                9000 => world.direct(node, to, &path, &body).await.map(Ok),
+                8081 => world.between(node, to, path, body).await,
                 _ => None,
             };
             if let Some(answer) = answer
                 && alive.load(Ordering::Relaxed)
+                && !world.has(Fault::Frozen(node))
             {
                 let _ = tell.send(answer);
             }
         });
         Box::pin(async move {
             match told.await {
-                Ok(answer) => Ok(answer),
+                Ok(answer) => answer,
                 Err(_) => {
                     sleep(Duration::from_secs(60)).await;
                     Err(Error::Unknown("no answer".into()))
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -2,14 +2,46 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-/// One controller's condition, exchanged about once a second.
-#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+/// One controller's condition, exchanged a few times a second. Fields that came
+/// later may be missing.
+#[derive(Debug, Clone, Default, Serialize, Deserialize, PartialEq)]
 pub struct Hello {
     pub member: String,
     /// Milliseconds since the state service last answered this node.
     pub state_age_ms: u64,
     /// The newest revision that this node has seen.
     pub revision: u64,
+    /// One per process; 0 if it isn't told.
+    #[serde(default)]
+    pub nonce: u64,
+    /// How late its timers are, in milliseconds.
+    #[serde(default)]
+    pub late_ms: u64,
+    /// If it leads, milliseconds since its last planning round was finished.
+    #[serde(default)]
+    pub planned_ms: Option<u64>,
+    /// What it knows of the other controllers at first hand.
+    #[serde(default)]
+    pub sights: Vec<Sight>,
+    /// Blocks lent to it of whose machines it has heard none for longer than chance
+    /// allows.
+    #[serde(default)]
+    pub deaf: Vec<String>,
+    /// Workers of others' blocks that turned up at it of late, by block.
+    #[serde(default)]
+    pub strays: Vec<(String, u32)>,
+}
+
+/// What one controller knows of another.
+#[derive(Debug, Clone, Default, Serialize, Deserialize, PartialEq)]
+pub struct Sight {
+    pub member: String,
+    /// The process that it means.
+    pub nonce: u64,
+    /// Milliseconds since that process was heard of; none if never.
+    pub heard_ms: Option<u64>,
+    /// Its port refused the latest greetings.
+    pub refused: bool,
 }
 
 /// A node that can't read the state service asks for a job on a user's behalf.
@@ -55,12 +87,32 @@
 mod tests {
     use super::*;
 
+    /// A controller of the version before says less of itself.
+    #[test]
+    fn an_older_greeting_is_read() {
+        #[derive(Serialize)]
+        struct Older {
+            member: &'static str,
+            state_age_ms: u64,
+            revision: u64,
+        }
+        let older = Older {
+            member: "walker-0",
+            state_age_ms: 3,
+            revision: 9,
+        };
+        let hello: Hello = decode(&encode(&older)).unwrap();
+        assert_eq!((hello.revision, hello.nonce, hello.planned_ms), (9, 0, None));
+    }
+
     #[test]
     fn garbage_is_no_message() {
         let hello = Hello {
             member: "walker-0".into(),
             state_age_ms: 3,
             revision: 9,
+            sights: vec![Sight::default()],
+            ..Hello::default()
         };
         assert_eq!(decode(&encode(&hello)), Some(hello));
         assert_eq!(decode::<Hello>(&[0xff, 0x00, 0x9f]), None);
