--- a/crates/detect/src/accrual.rs
+++ b/crates/detect/src/accrual.rs
@@ -44,7 +44,8 @@
             }
             // A long silence that ended belongs to the history, but not with all of
             // its length: one outage would hide the next for half a minute.
-            self.gaps.push_back((now_s - last).min(8.0 * self.expected_s));
+            self.gaps
+                .push_back((now_s - last).min(8.0 * self.expected_s));
         }
         self.last_s = Some(now_s);
     }
@@ -67,7 +68,8 @@
         let sum: f64 = self.gaps.iter().sum();
         let mean = (prior * self.expected_s + sum) / n;
         let square = |gap: f64| (gap - mean) * (gap - mean);
-        let spread = prior * square(self.expected_s) + self.gaps.iter().map(|g| square(*g)).sum::<f64>();
+        let spread =
+            prior * square(self.expected_s) + self.gaps.iter().map(|g| square(*g)).sum::<f64>();
         // Never surer than by half a gap: packets are lost and sent anew.
         (mean, (spread / n).sqrt().max(self.expected_s / 2.0))
     }
--- a/crates/plan/src/blocks.rs
+++ b/crates/plan/src/blocks.rs
@@ -288,7 +288,9 @@
         blocks[3].holder = None;
         assert_eq!(lend(&members, &blocks, true).len(), 1);
         // A block that is cut off goes to one who is known to reach it.
-        members.iter_mut().for_each(|m| (m.able, m.slow) = (true, false));
+        members
+            .iter_mut()
+            .for_each(|m| (m.able, m.slow) = (true, false));
         blocks[3] = block(2, 100, Some(2));
         (blocks[3].cut, blocks[3].reached) = (true, vec![0]);
         assert_eq!(lend(&members, &blocks, true), [(3, 0)]);
--- a/crates/rushwalk/src/handover.rs
+++ b/crates/rushwalk/src/handover.rs
@@ -8,7 +8,7 @@
 use rushwalk_detect::damping::Term;
 use rushwalk_detect::reach::{deaf_after_s, strays_needed};
 use rushwalk_detect::succession::{self, Candidate, Pace};
-use rushwalk_detect::{Own, Standing, Why};
+use rushwalk_detect::{Own, Standing};
 use rushwalk_wire::mesh::Hello;
 use rushwalk_wire::records::{self as rec, LEADER};
 use rushwalk_wire::state::Transaction;
@@ -39,7 +39,9 @@
     let mut reports = lock(&node.reports);
     let report = node.times.report.as_secs_f64();
     let mut out = Vec::new();
-    reports.lent.retain(|block, _| view.grants.contains_key(block));
+    reports
+        .lent
+        .retain(|block, _| view.grants.contains_key(block));
     for block in view.grants.keys() {
         let Some(token) = node.token(&view, block) else {
             reports.lent.remove(block);
@@ -80,31 +82,11 @@
 /// Follows the evidence, and judges a few times between two greetings.
 pub async fn standing_loop(node: Arc<Node>) {
     let mut followed = Followed::default();
-    let mut waiting: BTreeMap<String, Why> = BTreeMap::new();
     loop {
         sleep(node.times.greet / 2).await;
         let own = own(&node);
         follow(&node, &mut followed);
-        let changes = {
-            let mut detector = lock(&node.detector);
-            let changes = detector.judge(node.uptime(), own);
-            for change in &changes {
-                // Who was too slow gets its work back as one that was away.
-                match change.why {
-                    Some(why) => waiting.insert(change.member.clone(), why),
-                    None => waiting.remove(&change.member).filter(|why| {
-                        let slow = matches!(why, Why::Slow | Why::Stalled);
-                        if slow {
-                            let now = node.uptime();
-                            let term = Term { nonce: 0, since: (now * 1000.0) as u64 };
-                            detector.stood_down(now, &change.member, term);
-                        }
-                        false
-                    }),
-                };
-            }
-            changes
-        };
+        let changes = lock(&node.detector).judge(node.uptime(), own);
         for change in changes {
             let (member, why) = (&change.member, change.why);
             let (phi, after_s) = (tenths(change.phi), tenths(change.after_s));
@@ -154,7 +136,10 @@
         && let Some((version, before)) = followed.leader.take()
         && view.members.contains_key(&before)
     {
-        let term = Term { nonce: 0, since: version };
+        let term = Term {
+            nonce: 0,
+            since: version,
+        };
         detector.stood_down(now, &before, term);
     }
     followed.leader = leader;
@@ -262,7 +247,7 @@
         name: node.me(),
         trusted: true,
         fit,
-        late_s: node.load.late().as_secs_f64(),
+        late_s: node.load.lag().as_secs_f64(),
         state_age_s: node.state_age().as_secs_f64(),
     };
     let place = succession::place(&me, &others, detector.limits().spans());
@@ -276,11 +261,19 @@
     line + unfit
 }
 
+/// So many rounds after its last one a leader whose timers are late does not make them.
+const ROUNDS: f64 = 2.5;
+
 fn should_stand_down(node: &Node, pace: &mut Pace) -> Option<String> {
+    let planned = lock(&node.planned).map(|at| at.elapsed());
     let detector = lock(&node.detector);
-    let (now, late) = (node.uptime(), node.load.late().as_secs_f64());
+    let (now, late) = (node.uptime(), node.load.lag().as_secs_f64());
     let spans = detector.limits().spans();
-    if !pace.slow(now, late, spans, 1.0) {
+    // Late for a round; or somewhat late, and its rounds don't come.
+    let slow = pace.slow(now, late, spans, 1.0);
+    let rounds = planned.is_some_and(|age| age > node.times.round.mul_f64(ROUNDS));
+    let behind = slow || rounds && late > spans.late_s() / 2.0;
+    if !behind {
         return None;
     }
     let to = succession::better(late, &detector.candidates(now), spans);
@@ -290,12 +283,15 @@
 /// Lays the lead down by removing its key: whatever of ours is still under way is
 /// conditioned on it and fails.
 async fn stand_down(node: &Node, version: u64, to: &str) {
-    let late_ms = node.load.late().as_millis() as u64;
+    let late_ms = node.load.lag().as_millis() as u64;
     tracing::info!(late_ms, to, "laying down the lead: too slow for it");
     let txn = Transaction::default().when(LEADER, version).delete(LEADER);
     match node.commit(txn, For::Order).await {
         Outcome::Done(revision) => {
-            let term = Term { nonce: 0, since: version };
+            let term = Term {
+                nonce: 0,
+                since: version,
+            };
             lock(&node.detector).stood_down(node.uptime(), node.me(), term);
             node.reached(revision, node.times.round * 2).await;
         }
@@ -362,7 +358,9 @@
     pub fn now(node: &Node) -> Reach {
         let detector = lock(&node.detector);
         let fresh = detector.limits().round_s * 2.0;
-        let told = detector.hellos(node.uptime()).filter(|(age, _)| *age < fresh);
+        let told = detector
+            .hellos(node.uptime())
+            .filter(|(age, _)| *age < fresh);
         let mut hellos: BTreeMap<String, Hello> =
             told.map(|(_, h)| (h.member.clone(), h.clone())).collect();
         drop(detector);
@@ -398,9 +396,9 @@
 }
 
 /// A holder that was found cut off from its machines: it gets blocks back after its
-/// pause. All of its blocks that are found so within a lease are one departure.
+/// pause. All of its blocks that are found so together are one departure.
 pub fn lost_reach(node: &Node, holder: &str, nonce: u64) {
-    let span = node.times.lease.as_millis() as u64;
+    let span = node.times.member.as_millis() as u64;
     let term = Term {
         nonce,
         since: now_ms() / span.max(1),
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -46,6 +46,10 @@
     moved: HashMap<Name, Instant>,
     /// When a block was last taken from a holder to whom its machines don't come.
     strayed: HashMap<Name, Instant>,
+    /// When a member was last found cut off from its machines.
+    cut_off: HashMap<String, Instant>,
+    /// When a block was last given to a member, beyond what had no holder.
+    given: HashMap<String, Instant>,
     /// When a block was last moved for being better off elsewhere.
     settled: Option<Instant>,
     /// Tasks restarted once because they were overdue.
@@ -171,6 +175,8 @@
     let reach = Reach::now(node);
     let view = node.view();
     let now = now_ms();
+    let mut memory = lock(&node.leading);
+    let lately = |at: Option<&Instant>, span: Duration| at.is_some_and(|at| at.elapsed() < span);
     let detector = lock(&node.detector);
     let uptime = node.uptime();
     // One that is judged has nothing, whether or not its lease lasts.
@@ -185,23 +191,32 @@
             // grows if it comes and goes.
             let pause = (detector.damping.pause_s(uptime, name) * 1000.0) as u64;
             let slow = detector.slow(name);
+            // Step by step: the next block when it has shown that it serves the last.
+            let step = node.times.member.max(node.times.report);
+            let unproven = detector.damping.count(uptime, name) > 1
+                || lately(memory.cut_off.get(name.as_str()), node.times.lease);
+            let proven = !unproven || !lately(memory.given.get(name.as_str()), step);
             Member {
                 name,
                 zone: &m.zone,
-                settled: now > m.since_ms + pause && detector.damping.fit(uptime, name),
+                settled: now > m.since_ms + pause && detector.damping.fit(uptime, name) && proven,
                 extra: if name == node.me() { share } else { 0 },
                 able: detector.standing(name) == Standing::Trusted && !slow,
                 slow,
             }
         })
         .collect();
-    drop(detector);
+    // One whose lease has ended may still live and hold its blocks, by its last read: if
+    // it says so to us it is given the time to come back.
+    let grace = node.times.member.as_secs_f64() / 2.0;
+    let lingers =
+        |g: &rec::Grant| !view.held(g) && detector.lingers(&g.holder, g.nonce, uptime, grace);
     // Every zone has a block, before its first machine.
     let zones = node.settings.site.zones.iter().map(|z| z.as_str().into());
     let blocks: BTreeSet<Name> = zones.chain(view.blocks.keys().cloned()).collect();
-    let blocks: Vec<Name> = blocks.into_iter().collect();
-    let memory = lock(&node.leading);
-    let lately = |at: Option<&Instant>, span: Duration| at.is_some_and(|at| at.elapsed() < span);
+    let wait = |b: &Name| view.grants.get(b).is_some_and(|(_, g)| lingers(g));
+    let blocks: Vec<Name> = blocks.into_iter().filter(|b| !wait(b)).collect();
+    drop(detector);
     let mut strayed = Vec::new();
     let lent: Vec<Block> = (blocks.iter())
         .map(|block| {
@@ -215,9 +230,9 @@
             // That they turn up at somebody else shows that they can be reached.
             let again = lately(memory.strayed.get(block), node.times.member);
             let (up, silent) = view.pulse(block);
-            let at = valid.filter(|_| !again).map(|g| {
-                reach.elsewhere(block, &g.holder, up.saturating_sub(silent))
-            });
+            let at = valid
+                .filter(|_| !again)
+                .map(|g| reach.elsewhere(block, &g.holder, up.saturating_sub(silent)));
             let at = at.unwrap_or_default();
             let place = |name: &&str| names.binary_search_by(|n| n.as_str().cmp(name)).ok();
             if !at.is_empty() {
@@ -228,8 +243,7 @@
                 machines: view.blocks.get(block).map_or(0, BTreeSet::len),
                 holder: valid.and_then(|g| names.binary_search(&&g.holder).ok()),
                 quiet: view.pulse(block).1 > 0,
-                cut: !at.is_empty()
-                    || valid.is_some() && !moved && mostly_silent(&view, block),
+                cut: !at.is_empty() || valid.is_some() && !moved && mostly_silent(&view, block),
                 reached: at.iter().filter_map(place).collect(),
             }
         })
@@ -251,6 +265,9 @@
             needed.push(block.clone());
         }
         let why = why(&lent[i], &members);
+        if lent[i].holder.is_some() && !lent[i].cut {
+            memory.given.insert(to.into(), Instant::now());
+        }
         tracing::info!(
             block = &**block,
             to,
@@ -263,6 +280,7 @@
             && let Some((_, grant)) = view.grants.get(block)
         {
             handover::lost_reach(node, &grant.holder, grant.nonce);
+            memory.cut_off.insert(grant.holder.clone(), Instant::now());
         }
         let key = rec::grant_key(block);
         let grant = rec::Grant {
--- a/crates/rushwalk/src/load.rs
+++ b/crates/rushwalk/src/load.rs
@@ -15,16 +15,29 @@
     /// How often it is looked at.
     every: Duration,
     late: Mutex<Duration>,
+    /// How late they are in the mean of some looks.
+    lag: Mutex<Duration>,
 }
 
+/// Looks over which lateness is averaged: about a round.
+const AVERAGED: u32 = 8;
+
 impl Load {
     pub fn new(every: Duration) -> Load {
         Load {
             every,
             late: Mutex::default(),
+            lag: Mutex::default(),
         }
     }
 
+    /// How late timers are in the mean of the last round or so. A thread that has less
+    /// processor than work is late again and again, with good turns in between: the
+    /// mean shows it where the latest turns don't.
+    pub fn lag(&self) -> Duration {
+        *lock(&self.lag)
+    }
+
     /// How late timers are of late.
     pub fn late(&self) -> Duration {
         *lock(&self.late)
@@ -40,6 +53,11 @@
     fn saw(&self, late: Duration) {
         let mut before = lock(&self.late);
         *before = late.max(*before * 3 / 4);
+        let mut lag = lock(&self.lag);
+        // A look that comes late stands for those that did not come.
+        let passed = (self.every + late).as_secs_f64() / self.every.as_secs_f64();
+        let keep = (-passed / f64::from(AVERAGED)).exp();
+        *lag = lag.mul_f64(keep) + late.mul_f64(1.0 - keep);
     }
 
     /// Lets the others on this thread go on after a turn that took so long: while
@@ -77,4 +95,17 @@
         }
         assert!(!load.behind());
     }
+
+    /// A controller eight times slower was late in two looks of three, and by the
+    /// latest ones in time again and again.
+    #[test]
+    fn lateness_that_comes_and_goes_shows_in_the_mean() {
+        let load = Load::new(Duration::from_millis(100));
+        load.saw(Duration::from_millis(400));
+        assert!(load.lag() < Duration::from_millis(200), "one long turn");
+        (0..10).for_each(|i| load.saw(Duration::from_millis([2, 400, 500][i % 3])));
+        assert!(load.lag() > Duration::from_millis(250));
+        (0..40).for_each(|_| load.saw(Duration::from_millis(2)));
+        assert!(load.lag() < Duration::from_millis(10));
+    }
 }
--- a/crates/rushwalk/src/mesh.rs
+++ b/crates/rushwalk/src/mesh.rs
@@ -6,11 +6,11 @@
 use poem::http::StatusCode;
 use poem::web::Data;
 use poem::{Body, Endpoint, EndpointExt, Response, Route, get, handler, post};
+use rushwalk_clients::Error;
+use rushwalk_detect::{Contact, Standing};
 use rushwalk_wire::MAX_BODY;
 use rushwalk_wire::mesh::{AskJob, Change, Changed, Hello, JobAnswer, decode, encode};
 use std::sync::Arc;
-use rushwalk_clients::Error;
-use rushwalk_detect::{Contact, Standing};
 use tokio::time::sleep;
 
 pub fn routes(node: Arc<Node>) -> impl Endpoint {
@@ -33,7 +33,7 @@
         state_age_ms: u64::try_from(node.state_age().as_millis()).unwrap_or(u64::MAX),
         revision,
         nonce: node.nonce,
-        late_ms: node.load.late().as_millis() as u64,
+        late_ms: node.load.lag().as_millis() as u64,
         planned_ms: handover::planned(node).map(|age| age.as_millis() as u64),
         sights,
         deaf: handover::deaf(node),
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -183,8 +183,9 @@
         let (up_s, busy_s) = node.busy();
         let (connections, workers) = node.seats.count();
         let late_ms = node.load.late().as_millis() as u64;
+        let lag_ms = node.load.lag().as_millis() as u64;
         let work = node.meter.told();
-        tracing::info!(up_s, busy_s, late_ms, connections, workers, %work, "time spent");
+        tracing::info!(up_s, busy_s, late_ms, lag_ms, connections, workers, %work, "time spent");
     }
 }
 
