--- a/crates/plan/src/blocks.rs
+++ b/crates/plan/src/blocks.rs
@@ -16,8 +16,10 @@
     pub extra: usize,
     /// Neither suspect nor too slow: who is not gets nothing new while others are.
     pub able: bool,
-    /// Too slow for what it has: it leaves its blocks, one at a time.
+    /// Too slow for what it has: it leaves its blocks, one at a time, to others who have
+    /// room.
     pub slow: bool,
+    pub room: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -77,7 +79,12 @@
                 // A small site has one block a zone: larger than a share, and
                 // still best at home.
                 let home = |m: usize| able(m) && at_home(m) && (room(m) || load[m] == 0);
-                least(&load, home).or_else(|| least(&load, able))
+                // Not all to the last one without doubt: under an overload of all, who is
+                // slow to answer was left with nothing, and who was not with too much.
+                let fits = |m: usize| (load[m] + block.machines) as f64 <= OVER * mean;
+                least(&load, home)
+                    .or_else(|| least(&load, |m| able(m) && fits(m)))
+                    .or_else(|| least(&load, |_| true))
             }
         };
         let Some(to) = to else { continue };
@@ -112,7 +119,7 @@
     // can't answer seems silent to it.
     let slow = order.iter().find_map(|&i| {
         let from = blocks[i].holder.filter(|m| members[*m].slow)?;
-        let to = least(load, |m| m != from && settled(m) && !members[m].slow)?;
+        let to = least(load, |m| m != from && settled(m) && members[m].room)?;
         (blocks[i].machines > 0).then_some((i, to))
     });
     if slow.is_some() {
@@ -171,6 +178,7 @@
             extra: 0,
             able: true,
             slow: false,
+            room: true,
         }
     }
 
@@ -276,13 +284,20 @@
             block(2, 100, None),
         ];
         blocks[1].quiet = true;
+        // Who could have it at home is suspect; the other would have too much.
         members[2].able = false;
-        // Who could have it at home is suspect.
+        assert_eq!(lend(&members, &blocks, true), [(3, 2)]);
+        blocks[0].machines = 0;
         assert_eq!(lend(&members, &blocks, true), [(3, 0)]);
-        members[2].able = true;
+        (blocks[0].machines, members[2].able) = (100, true);
         blocks[3].holder = Some(2);
         assert_eq!(settle(&members, &mut blocks), 2);
         assert!(blocks.iter().all(|b| b.holder != Some(1)), "{blocks:?}");
+        // Not to one that has no room.
+        blocks[1].holder = Some(1);
+        members.iter_mut().for_each(|m| m.room = false);
+        assert_eq!(lend(&members, &blocks, true), []);
+        members.iter_mut().for_each(|m| m.room = true);
         // If all are, somebody must.
         members.iter_mut().for_each(|m| m.able = false);
         blocks[3].holder = None;
--- a/crates/rushwalk/src/handover.rs
+++ b/crates/rushwalk/src/handover.rs
@@ -6,7 +6,7 @@
 use crate::view::{Name, View};
 use rushwalk_clients::state::Outcome;
 use rushwalk_detect::damping::Term;
-use rushwalk_detect::reach::{deaf_after_s, strays_needed};
+use rushwalk_detect::reach::{self, due_s, enough};
 use rushwalk_detect::succession::{self, Candidate, Pace};
 use rushwalk_detect::{Own, Standing};
 use rushwalk_wire::mesh::Hello;
@@ -14,15 +14,25 @@
 use rushwalk_wire::state::Transaction;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
+/// The share of time in which the thread was busy of late.
+fn share(node: &Node) -> f64 {
+    f64::from(node.busy_share.load(Ordering::Relaxed)) / 1000.0
+}
+
 /// What this controller knows of itself.
 pub fn own(node: &Node) -> Own {
     let revision = node.view().revision;
+    let passed = *lock(&node.passed);
     Own {
         late_s: node.load.late().as_secs_f64(),
+        lag_s: node.load.lag().as_secs_f64(),
+        busy: share(node),
         state_age_s: node.state_age().as_secs_f64(),
+        passed_s: passed.map_or(f64::INFINITY, |at| at.elapsed().as_secs_f64()),
         revision,
     }
 }
@@ -33,7 +43,7 @@
     lock(&node.planned).map(|at| at.elapsed())
 }
 
-/// Blocks lent to us of whose machines none was heard for longer than chance allows.
+/// Blocks lent to us of whose machines none is heard though some are overdue.
 pub fn deaf(node: &Node) -> Vec<String> {
     let view = node.view();
     let mut reports = lock(&node.reports);
@@ -53,10 +63,26 @@
         if lent.0 != token {
             *lent = (token, Instant::now());
         }
-        let since = heard.map_or(lent.1, |at| at.max(lent.1));
+        let lent = lent.1;
+        let quiet = heard
+            .map_or(lent, |at| at.max(lent))
+            .elapsed()
+            .as_secs_f64();
         let (up, silent) = view.pulse(block);
         let machines = up.saturating_sub(silent);
-        if machines > 0 && since.elapsed().as_secs_f64() > deaf_after_s(machines, report) {
+        // Few blocks are quiet at all: the machines of the others aren't looked at.
+        if !reach::deaf(machines, machines, quiet, report) {
+            continue;
+        }
+        let ago = |at: Instant| -at.elapsed().as_secs_f64();
+        let overdue = |name: &&Name| {
+            let there = view.machines.get(*name).map(|row| &row.machine);
+            let heard = reports.all.get(*name).and_then(|w| w.heard).map(ago);
+            there.is_some_and(|m| m.up.is_some() && m.silent.is_none())
+                && due_s(heard, ago(lent), report) < 0.0
+        };
+        let overdue = view.blocks.get(block).into_iter().flatten().filter(overdue);
+        if reach::deaf(machines, overdue.count(), quiet, report) {
             out.push(block.to_string());
         }
     }
@@ -79,11 +105,39 @@
     }
 }
 
+/// The share of time in which a thread is busy, over some rounds.
+struct Busy {
+    looked: Instant,
+    busy_s: f64,
+    share: f64,
+}
+
+impl Busy {
+    fn look(&mut self, node: &Node) {
+        let passed = self.looked.elapsed().as_secs_f64();
+        if passed < node.times.round.as_secs_f64() {
+            return;
+        }
+        let (_, busy_s) = node.busy();
+        let share = ((busy_s - self.busy_s) / passed).clamp(0.0, 1.0);
+        self.share += (share - self.share) / 4.0;
+        (self.looked, self.busy_s) = (Instant::now(), busy_s);
+        let thousandths = (self.share * 1000.0) as u16;
+        node.busy_share.store(thousandths, Ordering::Relaxed);
+    }
+}
+
 /// Follows the evidence, and judges a few times between two greetings.
 pub async fn standing_loop(node: Arc<Node>) {
     let mut followed = Followed::default();
+    let mut busy = Busy {
+        looked: Instant::now(),
+        busy_s: 0.0,
+        share: 1.0,
+    };
     loop {
         sleep(node.times.greet / 2).await;
+        busy.look(&node);
         let own = own(&node);
         follow(&node, &mut followed);
         let changes = lock(&node.detector).judge(node.uptime(), own);
@@ -94,6 +148,8 @@
             match change.to {
                 Standing::Trusted => tracing::info!(member, after_s, "trusted again"),
                 Standing::Suspect => {
+                    // A verdict needs a read made since; the watch may be waiting.
+                    node.fresh_wanted.notify_one();
                     tracing::info!(member, ?why, phi, agree, of, "suspected");
                 }
                 Standing::Judged => {
@@ -130,17 +186,21 @@
             }
         }
     }
-    // The lead was laid down, not lost, if its holder is still a member.
+    // Laid down, or taken by a verdict, if its holder is still a member.
     let leader = view.leader.as_ref().map(|(v, l)| (*v, l.member.clone()));
-    if leader.is_none()
-        && let Some((version, before)) = followed.leader.take()
-        && view.members.contains_key(&before)
+    let after = leader.as_ref().map(|(_, member)| member);
+    if let Some((version, before)) = &followed.leader
+        && after != Some(before)
+        && view.members.contains_key(before)
     {
-        let term = Term {
-            nonce: 0,
-            since: version,
-        };
-        detector.stood_down(now, &before, term);
+        if after.is_none() {
+            let term = Term {
+                nonce: 0,
+                since: *version,
+            };
+            detector.stood_down(now, before, term);
+        }
+        *lock(&node.passed) = Some(Instant::now());
     }
     followed.leader = leader;
 }
@@ -216,7 +276,8 @@
             continue;
         }
         elect(&node, lease).await;
-        sleep(look / 4).await;
+        // If it came to nothing, the state service has enough to do.
+        sleep(look).await;
     }
 }
 
@@ -248,6 +309,7 @@
         trusted: true,
         fit,
         late_s: node.load.lag().as_secs_f64(),
+        busy: share(node),
         state_age_s: node.state_age().as_secs_f64(),
     };
     let place = succession::place(&me, &others, detector.limits().spans());
@@ -269,14 +331,21 @@
     let detector = lock(&node.detector);
     let (now, late) = (node.uptime(), node.load.lag().as_secs_f64());
     let spans = detector.limits().spans();
-    // Late for a round; or somewhat late, and its rounds don't come.
-    let slow = pace.slow(now, late, spans, 1.0);
-    let rounds = planned.is_some_and(|age| age > node.times.round.mul_f64(ROUNDS));
-    let behind = slow || rounds && late > spans.late_s() / 2.0;
-    if !behind {
+    // Late for two rounds; or late, and its rounds don't come.
+    let slow = pace.slow(now, late, spans, 2.0);
+    // As compared to its own of late: many jobs take long to plan, wherever that is done.
+    let pace = (*lock(&node.pace)).max(node.times.round);
+    let rounds = planned.is_some_and(|age| age > pace.mul_f64(ROUNDS));
+    let stalled = rounds && late >= spans.late_s() / 2.0;
+    if !(slow || stalled) {
         return None;
     }
-    let to = succession::better(late, &detector.candidates(now), spans);
+    // Once in a lease, whoever it was: if the next one can't keep up either, it is the
+    // load, and it would go round.
+    if lock(&node.passed).is_some_and(|at| at.elapsed() < node.times.lease) {
+        return None;
+    }
+    let to = succession::better(&detector.candidates(now), spans);
     to.map(str::to_string)
 }
 
@@ -338,6 +407,7 @@
         Outcome::Done(revision) => {
             lock(&node.leading).uncertain = false;
             *lock(&node.planned) = Some(Instant::now());
+            *lock(&node.pace) = node.times.round;
             tracing::info!(revision, "leading");
             node.reached(revision, node.times.round * 2).await;
             node.led.notify_one();
@@ -348,6 +418,14 @@
     }
 }
 
+/// Whether controllers have room for the machines of one that ended, for the few seconds
+/// until it is back: less than a third of their time is taken. Else the workers wait for
+/// it: to move a thousand of them there and back took more than all had to give.
+pub fn roomy(busy: impl Iterator<Item = u16>) -> bool {
+    let (count, sum) = busy.fold((0u32, 0u32), |(n, sum), b| (n + 1, sum + u32::from(b)));
+    count > 0 && sum < count * 1000 / 3
+}
+
 /// What is known of a block whose holder may not hear its machines.
 pub struct Reach {
     /// Hellos of all others, by their names.
@@ -388,7 +466,7 @@
         });
         let counts: Vec<_> = counts.collect();
         let all: usize = counts.iter().map(|(_, n)| n).sum();
-        match all >= strays_needed(up) {
+        match all >= enough(up) {
             true => counts.into_iter().map(|(name, _)| name).collect(),
             false => Vec::new(),
         }
@@ -410,7 +488,7 @@
 /// says that it hears nothing of that block, since it would come back after a time-out.
 pub fn steward(node: &Node, block: &str, grant: &rec::Grant) -> Option<String> {
     let detector = lock(&node.detector);
-    if detector.judged(&grant.holder, grant.nonce) {
+    if detector.dead(&grant.holder, grant.nonce) {
         return None;
     }
     let hello = detector.hello(&grant.holder, node.uptime());
@@ -420,13 +498,12 @@
     (!deaf).then(|| grant.holder.clone())
 }
 
-/// Whether a block may be given more work: it is lent to one who is no suspect.
+/// Whether a block may be given more work: it is lent to one of whom most have no
+/// doubt.
 pub fn takes_more(node: &Node, view: &View, block: &str) -> bool {
     let Some((_, grant)) = view.grants.get(block) else {
         return false;
     };
     // One that is only slow still takes its turn; it leaves its blocks by itself.
-    let detector = lock(&node.detector);
-    let trusted = detector.standing(&grant.holder) == Standing::Trusted;
-    view.held(grant) && (trusted || detector.slow(&grant.holder))
+    view.held(grant) && !lock(&node.detector).doubtful(&grant.holder)
 }
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -9,7 +9,6 @@
 use crate::slots;
 use crate::view::{JobRow, Name, TaskRow, View};
 use rushwalk_clients::state::Outcome;
-use rushwalk_detect::Standing;
 use rushwalk_plan::blocks::{self, Block, Member};
 use rushwalk_plan::market::{Kind, Lack, Market};
 use rushwalk_wire::jobs::Shape;
@@ -17,6 +16,7 @@
 use rushwalk_wire::state::Transaction;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -79,7 +79,11 @@
             && !uncertain
         {
             round(&node, version).await;
-            *lock(&node.planned) = Some(Instant::now());
+            let before = lock(&node.planned).replace(Instant::now());
+            if let Some(gap) = before.map(|at| at.elapsed()) {
+                let mut pace = lock(&node.pace);
+                *pace = (*pace * 7 + gap.min(node.times.member)) / 8;
+            }
         }
         // A round each second or so; one that took long leaves as much time
         // to the others on this thread.
@@ -180,7 +184,7 @@
     let detector = lock(&node.detector);
     let uptime = node.uptime();
     // One that is judged has nothing, whether or not its lease lasts.
-    let there = |(name, m): &(&String, &rec::Member)| !detector.judged(name, m.nonce);
+    let there = |(name, m): &(&String, &rec::Member)| !detector.dead(name, m.nonce);
     let names: Vec<&String> = view.members.iter().filter(there).map(|m| m.0).collect();
     // Leading takes about as much as half a share of the machines.
     let share = view.machines.len() / names.len().max(1) / 2;
@@ -191,6 +195,17 @@
             // grows if it comes and goes.
             let pause = (detector.damping.pause_s(uptime, name) * 1000.0) as u64;
             let slow = detector.slow(name);
+            let lag = match name == node.me() {
+                true => node.load.lag().as_secs_f64(),
+                false => detector
+                    .hello(name, uptime)
+                    .map_or(0.0, |(_, h)| h.late_ms as f64 / 1000.0),
+            };
+            let busy = match name == node.me() {
+                true => node.busy_share.load(Ordering::Relaxed),
+                false => detector.hello(name, uptime).map_or(0, |(_, h)| h.busy),
+            };
+            let spans = detector.limits().spans();
             // Step by step: the next block when it has shown that it serves the last.
             let step = node.times.member.max(node.times.report);
             let unproven = detector.damping.count(uptime, name) > 1
@@ -201,8 +216,9 @@
                 zone: &m.zone,
                 settled: now > m.since_ms + pause && detector.damping.fit(uptime, name) && proven,
                 extra: if name == node.me() { share } else { 0 },
-                able: detector.standing(name) == Standing::Trusted && !slow,
+                able: !detector.doubtful(name) && !slow,
                 slow,
+                room: spans.room(lag, f64::from(busy) / 1000.0),
             }
         })
         .collect();
@@ -214,7 +230,16 @@
     // Every zone has a block, before its first machine.
     let zones = node.settings.site.zones.iter().map(|z| z.as_str().into());
     let blocks: BTreeSet<Name> = zones.chain(view.blocks.keys().cloned()).collect();
-    let wait = |b: &Name| view.grants.get(b).is_some_and(|(_, g)| lingers(g));
+    // One that ended is mostly back before its lease ends.
+    let busy = detector.hellos(uptime).filter(|(age, _)| *age < grace);
+    let busy = busy.map(|(_, hello)| hello.busy);
+    let own = node.busy_share.load(Ordering::Relaxed);
+    let roomy = handover::roomy(busy.chain([own]));
+    let returns = |g: &rec::Grant| !roomy && view.held(g) && detector.refuses(&g.holder, g.nonce);
+    let wait = |b: &Name| {
+        let grant = view.grants.get(b).map(|(_, g)| g);
+        grant.is_some_and(|g| lingers(g) || returns(g))
+    };
     let blocks: Vec<Name> = blocks.into_iter().filter(|b| !wait(b)).collect();
     drop(detector);
     let mut strayed = Vec::new();
--- a/crates/rushwalk/src/main.rs
+++ b/crates/rushwalk/src/main.rs
@@ -1,36 +1,10 @@
 //! rushwalk: one controller of a cluster scheduler.
 
-mod admin;
-mod api;
-mod cloud;
-mod fleet;
-mod gate;
-mod handover;
-mod holder;
-mod leader;
-mod load;
-mod lock;
-mod log;
-mod mesh;
-mod meter;
-mod node;
-mod recovery;
-mod reports;
-mod seats;
-mod slots;
-mod snapshot;
-mod sync;
-mod view;
-
-#[cfg(test)]
-mod days;
-#[cfg(test)]
-mod size;
-
 use clap::{Parser, Subcommand};
-use gate::{Gate, Limits};
-use node::Node;
 use poem::listener::TcpListener;
+use rushwalk::gate::{Gate, Limits};
+use rushwalk::node::{self, Node};
+use rushwalk::{admin, api, mesh};
 use rushwalk_clients::Http;
 use rushwalk_wire::settings::Settings;
 use std::path::PathBuf;
--- a/crates/rushwalk/src/mesh.rs
+++ b/crates/rushwalk/src/mesh.rs
@@ -11,7 +11,8 @@
 use rushwalk_wire::MAX_BODY;
 use rushwalk_wire::mesh::{AskJob, Change, Changed, Hello, JobAnswer, decode, encode};
 use std::sync::Arc;
-use tokio::time::sleep;
+use std::sync::atomic::Ordering;
+use tokio::time::{Instant, sleep};
 
 pub fn routes(node: Arc<Node>) -> impl Endpoint {
     Route::new()
@@ -34,7 +35,9 @@
         revision,
         nonce: node.nonce,
         late_ms: node.load.lag().as_millis() as u64,
+        busy: node.busy_share.load(Ordering::Relaxed),
         planned_ms: handover::planned(node).map(|age| age.as_millis() as u64),
+        pace_ms: lock(&node.pace).as_millis() as u64,
         sights,
         deaf: handover::deaf(node),
         strays,
@@ -159,15 +162,21 @@
     let call = node
         .mesh
         .ask::<_, Hello>(&peer.endpoint, "/mesh/hello", &hello, node.times.round);
+    let asked = Instant::now();
     let answer = call.await;
+    let hung = asked.elapsed() >= node.times.round.mul_f64(0.9);
     let mut detector = lock(&node.detector);
     let now = node.uptime();
     match answer {
         Ok(hello) => detector.answered(now, hello),
         Err(Error::Refused) => detector.failed(now, &peer.member, Contact::Refused),
-        // A kept connection that broke says nothing: the next greeting opens one.
         Err(Error::Unknown(_) | Error::NotSent(_)) => {
-            detector.failed(now, &peer.member, Contact::Silent);
+            let contact = if hung {
+                Contact::Silent
+            } else {
+                Contact::Broken
+            };
+            detector.failed(now, &peer.member, contact);
         }
         Err(Error::Status(_) | Error::TooLarge) => {}
     }
--- a/crates/rushwalk/src/meter.rs
+++ b/crates/rushwalk/src/meter.rs
@@ -79,7 +79,6 @@
     }
 
     /// How many things were looked at in one kind of work so far.
-    #[cfg(test)]
     pub fn items(&self, work: Work) -> u64 {
         let spent = lock(&self.spent);
         spent[work as usize].items
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -18,7 +18,7 @@
 use rushwalk_wire::settings::Settings;
 use rushwalk_wire::state::Transaction;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc, watch};
@@ -82,6 +82,12 @@
     pub strays: Mutex<Strays>,
     /// When the latest planning round was finished, or the lead was taken.
     pub planned: Mutex<Option<Instant>>,
+    /// The share of time in which the thread was busy of late, in thousandths.
+    pub busy_share: AtomicU16,
+    /// When the lead last passed from one who lives to another.
+    pub passed: Mutex<Option<Instant>>,
+    /// How far this leader's rounds are apart in the mean.
+    pub pace: Mutex<Duration>,
     /// The lead was taken: the first round need not wait for its turn.
     pub led: Notify,
     pub write_budget: Mutex<Budget>,
@@ -107,20 +113,27 @@
     started: Instant,
 }
 
-#[cfg(not(test))]
+thread_local! {
+    /// On threads whose time is virtual, when it began.
+    static VIRTUAL: std::cell::Cell<Option<Instant>> = const { std::cell::Cell::new(None) };
+}
+
+/// From now on the time of day on this thread follows its runtime's clock, which trials
+/// pause.
+pub fn virtual_time() {
+    VIRTUAL.set(Some(Instant::now()));
+}
+
+/// The time of day, in milliseconds.
 pub fn now_ms() -> u64 {
+    if let Some(began) = VIRTUAL.get() {
+        return 1_000_000 + began.elapsed().as_millis() as u64;
+    }
     std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
         .map_or(0, |d| d.as_millis() as u64)
 }
 
-/// In tests the time of day follows the runtime's clock, which is paused.
-#[cfg(test)]
-pub fn now_ms() -> u64 {
-    thread_local!(static START: Instant = Instant::now());
-    1_000_000 + START.with(|s| s.elapsed().as_millis() as u64)
-}
-
 /// How the sockets are shared out: a sixteenth for connections kept for later, which
 /// leaves them and the memory to those who call; as many for calls to workers under
 /// way; the public address leaves an eighth free. 0 means no limit.
@@ -204,6 +217,7 @@
             every_s: times.greet.as_secs_f64(),
             round_s: times.round.as_secs_f64(),
             member_s: times.member.as_secs_f64(),
+            lease_s: times.lease.as_secs_f64(),
             phi: 8.0,
             refusals: 2,
         };
@@ -221,6 +235,10 @@
             detector: Mutex::new(detector),
             strays: Mutex::default(),
             planned: Mutex::default(),
+            passed: Mutex::default(),
+            pace: Mutex::new(times.round),
+            // Until more is known there is no room for others' work.
+            busy_share: AtomicU16::new(1000),
             led: Notify::new(),
             write_budget: Mutex::new(Budget::shared(share, writes, now)),
             slots: Mutex::default(),
--- a/crates/rushwalk/src/reports.rs
+++ b/crates/rushwalk/src/reports.rs
@@ -229,8 +229,12 @@
     let Some(token) = node.token(&view, block) else {
         return match view.grants.get(block) {
             Some((token, grant)) if grant.holder != node.me() => {
-                let now = node.uptime();
-                lock(&node.strays).turned_up(now, block, *token, name);
+                // One that has just come up looks for its holder.
+                let old = 2 * node.times.report.as_millis() as u64;
+                if row.machine.up.is_some_and(|at| now_ms() > at + old) {
+                    let now = node.uptime();
+                    lock(&node.strays).turned_up(now, block, *token, name);
+                }
                 Reply::Elsewhere(handover::steward(node, block, grant))
             }
             _ => {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -190,7 +190,7 @@
         }
     }
 
-    fn has(&self, fault: Fault) -> bool {
+    pub fn has(&self, fault: Fault) -> bool {
         lock(&self.faults).contains(&fault)
     }
 
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -17,9 +17,15 @@
     /// How late its timers are in the mean of a round, in milliseconds.
     #[serde(default)]
     pub late_ms: u64,
+    /// The share of time in which its thread was busy of late, in thousandths.
+    #[serde(default)]
+    pub busy: u16,
     /// If it leads, milliseconds since its last planning round was finished.
     #[serde(default)]
     pub planned_ms: Option<u64>,
+    /// And how far its rounds are apart in the mean, in milliseconds.
+    #[serde(default)]
+    pub pace_ms: u64,
     /// What it knows of the other controllers at first hand.
     #[serde(default)]
     pub sights: Vec<Sight>,
