--- a/crates/detect/src/standing.rs
+++ b/crates/detect/src/standing.rs
@@ -627,3 +627,173 @@
     /// Whether the pause after the latest is over.
     pub fit: bool,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ME: Own = Own {
+        late_s: 0.0,
+        lag_s: 0.002,
+        busy: 0.1,
+        state_age_s: 0.1,
+        passed_s: f64::INFINITY,
+        revision: 100,
+    };
+
+    fn detector(peers: &[&str]) -> Detector {
+        let limits = Limits {
+            every_s: 0.3,
+            round_s: 0.9,
+            member_s: 5.0,
+            lease_s: 36.0,
+            phi: 8.0,
+            refusals: 2,
+        };
+        let mut detector = Detector::new(limits, peers.iter().copied(), 0.0);
+        for (i, peer) in peers.iter().enumerate() {
+            let nonce = i as u64 + 1;
+            detector.member(0.0, peer, Some(Term { nonce, since: 0 }));
+        }
+        detector
+    }
+
+    fn hello(member: &str, nonce: u64, of: &[(&str, u64, u64, bool)]) -> Hello {
+        let sight = |(m, nonce, heard, refused): &(&str, u64, u64, bool)| Sight {
+            member: m.to_string(),
+            nonce: *nonce,
+            heard_ms: Some(*heard),
+            refused: *refused,
+        };
+        Hello {
+            member: member.into(),
+            nonce,
+            revision: 100,
+            sights: of.iter().map(sight).collect(),
+            ..Hello::default()
+        }
+    }
+
+    /// `a` refuses from 10 s on; `b` is heard, and says what it sees of `a`.
+    fn refused(heard_ms: u64, refuses: bool, own: Own, wrote: bool) -> Standing {
+        let mut d = detector(&["a", "b"]);
+        d.answered(9.9, hello("a", 1, &[]));
+        for step in 0..10u32 {
+            let now = 10.0 + 0.3 * f64::from(step);
+            d.failed(now, "a", Contact::Refused);
+            d.answered(now, hello("b", 2, &[("a", 1, heard_ms, refuses)]));
+            if wrote {
+                d.wrote(now, "a");
+            }
+            d.judge(now, own);
+        }
+        d.standing("a")
+    }
+
+    #[test]
+    fn a_refusal_is_a_verdict_if_another_says_so_and_nothing_speaks_against_it() {
+        assert_eq!(refused(9000, true, ME, false), Standing::Judged);
+        // The other has heard it since.
+        assert_eq!(refused(10, false, ME, false), Standing::Suspect);
+        // It writes: it lives behind a packet filter, or has no sockets.
+        assert_eq!(refused(9000, true, ME, true), Standing::Suspect);
+        // The judge is the one that is cut off, or late.
+        let cut = Own {
+            state_age_s: 30.0,
+            ..ME
+        };
+        assert_eq!(refused(9000, true, cut, false), Standing::Suspect);
+        let late = Own { late_s: 2.0, ..ME };
+        assert_eq!(refused(9000, true, late, false), Standing::Suspect);
+    }
+
+    #[test]
+    fn refusals_after_a_time_out_and_of_all_peers_are_no_verdict() {
+        let mut d = detector(&["a", "b"]);
+        d.failed(9.0, "a", Contact::Silent);
+        for step in 0..10u32 {
+            let now = 10.0 + 0.3 * f64::from(step);
+            d.failed(now, "a", Contact::Refused);
+            d.answered(now, hello("b", 2, &[("a", 1, 9000, true)]));
+            d.judge(now, ME);
+        }
+        assert_eq!(d.standing("a"), Standing::Trusted, "it was overloaded");
+        for step in 0..100u32 {
+            let now = 20.0 + 0.3 * f64::from(step);
+            d.failed(now, "b", Contact::Refused);
+            d.judge(now, ME);
+        }
+        assert_ne!(d.standing("b"), Standing::Judged, "nobody else was heard");
+        assert!(!d.doubtful("b"), "it is given work as before");
+    }
+
+    #[test]
+    fn an_answer_ends_a_suspicion_but_not_a_verdict_and_an_old_greeting_neither() {
+        let mut d = detector(&["a", "b"]);
+        d.answered(9.9, hello("a", 1, &[]));
+        let suspect = |d: &mut Detector, from: f64, steps: u32| {
+            for step in 0..steps {
+                let now = from + 0.3 * f64::from(step);
+                d.failed(now, "a", Contact::Refused);
+                d.answered(now, hello("b", 2, &[("a", 1, 9000, true)]));
+                d.judge(now, ME);
+            }
+        };
+        suspect(&mut d, 10.0, 2);
+        assert_eq!(d.standing("a"), Standing::Suspect);
+        // Held back by the network since before.
+        d.greeted(
+            10.5,
+            Hello {
+                revision: 50,
+                ..hello("a", 1, &[])
+            },
+        );
+        d.judge(10.5, ME);
+        assert_eq!(d.standing("a"), Standing::Suspect);
+        d.answered(10.6, hello("a", 1, &[]));
+        d.judge(10.6, ME);
+        assert_eq!(d.standing("a"), Standing::Trusted);
+        suspect(&mut d, 11.0, 6);
+        assert!(d.judged("a", 1));
+        d.answered(13.0, hello("a", 1, &[]));
+        d.judge(13.0, ME);
+        assert_eq!(d.standing("a"), Standing::Judged, "too late");
+        d.answered(18.5, hello("a", 1, &[]));
+        d.judge(18.5, ME);
+        assert_eq!(d.standing("a"), Standing::Trusted, "it answers for a while");
+        // Of the name, but not the process that was judged.
+        suspect(&mut d, 30.0, 6);
+        d.member(33.0, "a", Some(Term { nonce: 7, since: 9 }));
+        assert!(!d.judged("a", 7) && d.judged("a", 1));
+    }
+
+    /// Two that came back took the lead from each other six times in 0.2 s.
+    #[test]
+    fn a_leader_that_stalls_is_judged_once_in_a_lease_by_one_with_room() {
+        let stalls = |own: Own| {
+            let mut d = detector(&["a", "b"]);
+            for step in 0..30u32 {
+                let now = 10.0 + 0.3 * f64::from(step);
+                let slow = Hello {
+                    late_ms: 300,
+                    planned_ms: Some(5000),
+                    ..hello("a", 1, &[])
+                };
+                d.answered(now, slow);
+                d.judge(now, own);
+            }
+            d.standing("a")
+        };
+        assert_eq!(stalls(ME), Standing::Judged);
+        assert_eq!(
+            stalls(Own {
+                passed_s: 9.0,
+                ..ME
+            }),
+            Standing::Suspect
+        );
+        assert_eq!(stalls(Own { busy: 0.6, ..ME }), Standing::Trusted);
+        assert_eq!(stalls(Own { lag_s: 0.2, ..ME }), Standing::Trusted);
+    }
+}
