Boot times learnt from what is seen; late machines are not waited for

Cause: a machine that was late was expected within a fifth of a boot, round after round, and given up after four nominal boots only.

Change: crates/plan/src/boots.rs, a Kaplan-Meier estimate per type and zone over the machines rented about the same time, those not up counted as at risk, with what the protocol calls usual as two pseudo-observations. Within the usual range the plan is as before; beyond it offers and booting machines get the learnt time, so work is planned on others. One is given up when a new one should come in half the time; where all are late only one in eight a boot time, if work waits, to see whether that is over. Given up machines still tell (leader's memory).

'One in eight' rounded up ended all three machines of the stand-ins, one after the other; ages count from a report interval on, since so long one may be up unheard.

--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -329,6 +329,29 @@
     day.check();
 }
 
+/// Machines that never came were expected within a fifth of a boot, again and again:
+/// nothing was rented in their place until they were given up after four boots.
+#[tokio::test(start_paused = true)]
+async fn work_does_not_wait_for_machines_that_never_come() {
+    let mut day = Day::new(14);
+    day.pass(30).await;
+    day.world.set(Fault::NoBoots);
+    let service = day.submit(1, "standing", 12, 1.0, 0.0).await;
+    day.pass(2).await;
+    day.world.clear(Fault::NoBoots);
+    let mut waited = 2;
+    while day.state(&service).await.running < 12 {
+        day.pass(1).await;
+        waited += 1;
+    }
+    assert!(waited <= 24, "{waited} s, with boots of 5 s");
+    // The others go back, and nothing is left over.
+    day.pass(60).await;
+    let there = day.world.workers().iter().filter(|w| !w.dead).count();
+    assert!(there <= 6, "{there} machines for 12 GPUs");
+    day.check();
+}
+
 #[tokio::test(start_paused = true)]
 async fn only_a_member_leads() {
     let mut day = Day::new(12);
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod amount;
 pub mod blocks;
+pub mod boots;
 pub mod fleet;
 pub mod market;
 pub mod predict;
--- a/crates/rushwalk/src/fleet.rs
+++ b/crates/rushwalk/src/fleet.rs
@@ -11,7 +11,7 @@
 use crate::meter::Work;
 use crate::node::{For, Node, lock, now_ms};
 use expecting::spare;
-pub use machines::kind_of;
+pub use machines::{booting, boots, kind_of};
 use machines::{machines, scarcity};
 use placing::{assign, assigned, overdue, waiting};
 use rushwalk_plan::round::{Decisions, Round, Waiting};
--- a/crates/rushwalk/src/fleet/machines.rs
+++ b/crates/rushwalk/src/fleet/machines.rs
@@ -5,13 +5,14 @@
 use crate::slots;
 use crate::view::{Name, View};
 use rushwalk_plan::Amount;
+use rushwalk_plan::boots::{Boots, Group, Seen};
 use rushwalk_plan::market::Kind;
 use rushwalk_plan::quota::Usage;
 use rushwalk_plan::round::{Offer, Round};
 use rushwalk_plan::slot::Slot;
 use rushwalk_plan::slots::Slots;
-use rushwalk_wire::cloud::MAX_RENT;
-use rushwalk_wire::records::{Rental, Stage, Types};
+use rushwalk_wire::cloud::{MAX_RENT, MachineType};
+use rushwalk_wire::records::{Machine, Rental, Stage, Types};
 use std::collections::BTreeMap;
 
 /// The machines there are, and those under way.
@@ -38,7 +39,12 @@
     };
     for (name, row) in &view.machines {
         if row.machine.stage == Stage::Use && row.machine.silent.is_none() {
-            let slot = slots::slot(view, name, row, types, &round.zones, seconds);
+            let ready = match row.machine.up {
+                Some(_) => seconds,
+                None => ready(&memory.boots, &row.machine, types, &round.zones, seconds),
+            };
+            let times = (seconds, ready);
+            let slot = slots::slot(view, name, row, types, &round.zones, times);
             slot.into_iter().for_each(|slot| round.slots.push(slot));
         }
     }
@@ -50,7 +56,8 @@
         let Some(zone) = round.zones.iter().position(|z| **z == *rental.zone) else {
             continue;
         };
-        let ready = (rental.at as f64 / 1000.0 + BOOT * kind.boot_s).max(seconds + 1.0);
+        let boots = memory.boots.fresh((group, zone), kind.boot_s);
+        let ready = (rental.at as f64 / 1000.0 + boots).max(seconds + 1.0);
         let slot = Slot::new("".into(), group, kind, zone, rental.spot, ready);
         let all = std::iter::repeat_n(slot, rental.count as usize);
         all.for_each(|slot| round.slots.push(slot));
@@ -59,8 +66,58 @@
     round
 }
 
-/// Booting takes this many times the nominal boot time.
-const BOOT: f64 = 1.1;
+/// How machines boot, by those there are and those that were given up.
+pub fn boots(
+    view: &View,
+    memory: &mut LeaderMemory,
+    types: &Types,
+    zones: &[Name],
+    (now, report_s): (u64, f64),
+) -> Boots {
+    let seconds = now as f64 / 1000.0;
+    let mut boots = Boots::new(seconds, report_s);
+    for row in view.machines.values() {
+        let machine = &row.machine;
+        let Some((group, kind)) = booting(machine, types, zones) else {
+            continue;
+        };
+        let rented = machine.rented as f64 / 1000.0;
+        let until = machine.up.map_or(seconds, |up| up as f64 / 1000.0);
+        let seen = Seen {
+            rented,
+            took: (until - rented).max(0.0),
+            up: machine.up.is_some(),
+        };
+        boots.seen(group, kind.boot_s, seen);
+    }
+    memory
+        .given_up
+        .retain(|(_, nominal, seen)| seconds - seen.rented < 8.0 * nominal);
+    for (group, nominal, seen) in &memory.given_up {
+        boots.seen(*group, *nominal, *seen);
+    }
+    boots.settle();
+    boots
+}
+
+/// The group that a machine boots with, and its type.
+pub fn booting<'a>(
+    machine: &Machine,
+    types: &'a Types,
+    zones: &[Name],
+) -> Option<(Group, &'a MachineType)> {
+    let zone = zones.iter().position(|z| *z == machine.zone)?;
+    let kind = types.types.iter().position(|t| *t.name == *machine.kind)?;
+    Some(((kind, zone), &types.types[kind]))
+}
+
+/// When one that boots should be up.
+fn ready(boots: &Boots, machine: &Machine, types: &Types, zones: &[Name], now: f64) -> f64 {
+    let left = booting(machine, types, zones).map_or(0.0, |(group, kind)| {
+        boots.left(group, kind.boot_s, machine.rented as f64 / 1000.0)
+    });
+    now + left.max(1.0)
+}
 
 /// What may be rented now, and how much of it.
 fn offers(
@@ -106,7 +163,7 @@
                 if left == 0 {
                     continue;
                 }
-                let ready = seconds + kind.boot_s * BOOT;
+                let ready = seconds + memory.boots.fresh((group, zone), kind.boot_s);
                 out.push(Offer {
                     slot: Slot::new("".into(), group, kind, zone, spot, ready),
                     ours: all,
--- a/crates/rushwalk/src/handover.rs
+++ b/crates/rushwalk/src/handover.rs
@@ -376,6 +376,7 @@
         return;
     }
     let nonce = rand::random::<u64>() >> 12;
+    let led;
     let txn = {
         let view = node.view();
         let mine = node.leadership(&view).is_some();
@@ -383,6 +384,8 @@
             let memory = lock(&node.leading);
             (memory.uncertain, memory.nonce)
         };
+        let leader = view.leader.as_ref();
+        led = leader.is_some_and(|(_, l)| Some(l.nonce) == nonce_known);
         match &view.leader {
             // Our own earlier process, or commits of ours that may come late.
             Some((_, l)) if l.member == node.me() && !mine && Some(l.nonce) == nonce_known => {
@@ -405,7 +408,13 @@
     lock(&node.leading).nonce = Some(nonce);
     match node.commit(txn, For::Order).await {
         Outcome::Done(revision) => {
-            lock(&node.leading).uncertain = false;
+            {
+                let mut memory = lock(&node.leading);
+                memory.uncertain = false;
+                if !led {
+                    memory.since = Some(Instant::now());
+                }
+            }
             *lock(&node.planned) = Some(Instant::now());
             *lock(&node.pace) = node.times.round;
             tracing::info!(revision, "leading");
--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -329,7 +329,7 @@
             };
             let m = &row.machine;
             if m.stage == Stage::Use && m.up.is_some() && m.silent.is_none() {
-                let slot = slots::slot(view, name, row, &types, &zones, seconds);
+                let slot = slots::slot(view, name, row, &types, &zones, (seconds, seconds));
                 slot.into_iter().for_each(|slot| round.slots.push(slot));
             }
         }
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -10,6 +10,7 @@
 use crate::view::{JobRow, Name, TaskRow, View};
 use rushwalk_clients::state::Outcome;
 use rushwalk_plan::blocks::{self, Block, Member};
+use rushwalk_plan::boots::{Boots, Group, Late, Seen};
 use rushwalk_plan::market::{Kind, Lack, Market};
 use rushwalk_wire::jobs::Shape;
 use rushwalk_wire::records::{self as rec, LEADER, Machine, Op, Phase, Stage, StopWhy};
@@ -60,6 +61,14 @@
     /// which they were written (nobody else can have asked for them either) and
     /// the time by our uptime.
     pub unsent: BTreeMap<Name, (u64, f64)>,
+    /// How machines boot, as of the latest round.
+    pub boots: Boots,
+    /// Machines given up before they came, with their nominal boot time.
+    pub given_up: Vec<(Group, f64, Seen)>,
+    /// When one of many late machines was given up to try another.
+    tried: Vec<(Group, Instant)>,
+    /// Since when this process leads.
+    pub since: Option<Instant>,
     /// Deleted machines, which the late list still shows for a while.
     pub gone: HashMap<Name, Instant>,
 }
@@ -336,6 +345,8 @@
 fn upkeep(node: &Node) -> Vec<Op> {
     let view = node.view();
     let now = now_ms();
+    let mut memory = lock(&node.leading);
+    let late = late(node, &view, &mut memory, now);
     let mut back: BTreeMap<(Name, u64), Vec<u32>> = BTreeMap::new();
     let mut stops: BTreeMap<(Name, u64, u8), Vec<u32>> = BTreeMap::new();
     let mut ops = Vec::new();
@@ -372,7 +383,11 @@
         if row.machine.stage == Stage::Delete {
             continue;
         }
-        if let Some(why) = give_up(node, &view, &row.machine, now) {
+        let why = match late.contains(name) {
+            true => Some("it does not come up"),
+            false => give_up(node, &view, &row.machine, now),
+        };
+        if let Some(why) = why {
             tracing::info!(machine = &**name, why, "machine given up");
             given_up.push(name.clone());
             continue;
@@ -426,15 +441,80 @@
     })
 }
 
+/// One in so many of the machines that are late, as all rented with them are, is given up
+/// in a boot time to see how another one fares.
+const TRIED: usize = 8;
+
+/// Machines to give up since others would come sooner. One that never comes holds what
+/// can be rented of its kind: 580 did for 250 s, and all others were in use.
+fn late(node: &Node, view: &View, memory: &mut LeaderMemory, now: u64) -> BTreeSet<Name> {
+    let Some(types) = view.types.clone() else {
+        return BTreeSet::new();
+    };
+    let zones = slots::zones(&types, &node.settings.site);
+    let report_s = node.times.report.as_secs_f64();
+    memory.boots = fleet::boots(view, memory, &types, &zones, (now, report_s));
+    // Who has just come to lead does not know what the holders are about to say.
+    let settled = memory
+        .since
+        .is_some_and(|at| at.elapsed() > node.times.silent);
+    if !settled {
+        return BTreeSet::new();
+    }
+    let mut out = BTreeSet::new();
+    let mut alike: Vec<(Group, u64, &Name, f64)> = Vec::new();
+    for (name, row) in &view.machines {
+        let m = &row.machine;
+        let held = || view.grants.get(&m.block).is_some_and(|(_, g)| view.held(g));
+        if m.up.is_some() || m.stage == Stage::Delete || !held() {
+            continue;
+        }
+        let Some((group, kind)) = fleet::booting(m, &types, &zones) else {
+            continue;
+        };
+        match memory
+            .boots
+            .late(group, kind.boot_s, m.rented as f64 / 1000.0)
+        {
+            Late::Not => {}
+            Late::Like => alike.push((group, m.rented, name, kind.boot_s)),
+            Late::Beyond => {
+                out.insert(name.clone());
+            }
+        }
+    }
+    // Are they all late still? If work waits it is worth a try now and then.
+    alike.sort_by_key(|(group, rented, ..)| (*group, *rented));
+    if memory.waits.is_empty() {
+        alike.clear();
+    }
+    for some in alike.chunk_by(|a, b| a.0 == b.0) {
+        let (group, boot_s) = (some[0].0, some[0].3);
+        let tried = &mut memory.tried;
+        tried.retain(|(g, at)| *g != group || at.elapsed().as_secs_f64() < boot_s);
+        let lately = tried.iter().filter(|(g, _)| *g == group).count();
+        let more = (some.len() / TRIED).saturating_sub(lately);
+        for (_, _, name, _) in some.iter().take(more) {
+            tried.push((group, Instant::now()));
+            out.insert((*name).clone());
+        }
+    }
+    for m in out.iter().filter_map(|name| view.machines.get(name)) {
+        let m = &m.machine;
+        if let Some((group, kind)) = fleet::booting(m, &types, &zones) {
+            let seen = Seen {
+                rented: m.rented as f64 / 1000.0,
+                took: now.saturating_sub(m.rented) as f64 / 1000.0,
+                up: false,
+            };
+            memory.given_up.push((group, kind.boot_s, seen));
+        }
+    }
+    out
+}
+
 /// Why a machine is to be deleted at once, whatever is on it.
 fn give_up(node: &Node, view: &View, m: &Machine, now: u64) -> Option<&'static str> {
-    let types = view.types.as_ref()?;
-    if m.up.is_none() {
-        let kind = types.types.iter().find(|t| *t.name == *m.kind)?;
-        // Some take several times as long; a few never come up.
-        let limit = (4.0 * kind.boot_s * 1000.0) as u64;
-        return (now > m.rented + limit).then_some("it never came up");
-    }
     if let Some(taken) = m.taken
         && now > taken + node.times.round.as_millis() as u64 * 3
     {
--- a/crates/rushwalk/src/slots.rs
+++ b/crates/rushwalk/src/slots.rs
@@ -42,27 +42,20 @@
     }
 }
 
-/// A machine that is up, or boots, with the tasks that it has.
+/// A machine that is up, or boots and takes tasks from `ready` on, with those it has.
 pub fn slot(
     view: &View,
     name: &Name,
     row: &MachineRow,
     types: &Types,
     zones: &[Name],
-    now: f64,
+    (now, ready): (f64, f64),
 ) -> Option<Slot> {
     let machine = &row.machine;
     let zone = zones.iter().position(|z| *z == machine.zone)?;
     let mut groups = types.types.iter();
     let group = groups.position(|t| *t.name == *machine.kind)?;
     let kind = &types.types[group];
-    let ready = match machine.up {
-        Some(_) => now,
-        None => {
-            let nominal = machine.rented as f64 / 1000.0 + 1.1 * kind.boot_s;
-            nominal.max(now + 0.2 * kind.boot_s)
-        }
-    };
     let mut slot = Slot::new(name.clone(), group, kind, zone, machine.spot, ready);
     slot.block = machine.block.clone();
     slot.up = machine.up.is_some();
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -45,6 +45,8 @@
     PeersRefuse,
     /// This controller stands still for the others: nothing it sends or is sent passes.
     Frozen(usize),
+    /// Machines that are rented never come up.
+    NoBoots,
     /// The state service is down for all.
     Outage,
     /// Some commits are carried out, but their answers are lost.
@@ -381,6 +383,9 @@
                 dead: false,
             });
             names.push(name);
+            if self.has(Fault::NoBoots) {
+                continue;
+            }
             let (world, lease, report) = (self.clone(), self.lease, self.report);
             tokio::spawn(async move {
                 sleep(world.boot).await;
