--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -36,6 +36,10 @@
     failure: Vec<Failure>,
     #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(2..=16))]
     controllers: u16,
+    /// Seconds after which a process that ended is started again; may be given several
+    /// times.
+    #[arg(long, default_values_t = [4.0], value_parser = seconds)]
+    restart_after: Vec<f64>,
     /// Runs of each failure, each with a seed of its own.
     #[arg(long, default_value_t = 16, value_parser = clap::value_parser!(u32).range(1..=10_000))]
     runs: u32,
@@ -76,6 +80,14 @@
     plot: Option<PathBuf>,
 }
 
+fn seconds(text: &str) -> Result<f64, String> {
+    let seconds: f64 = text.parse().map_err(|_| "not a number".to_string())?;
+    match (0.0..=60.0).contains(&seconds) {
+        true => Ok(seconds),
+        false => Err("not from 0 to 60".into()),
+    }
+}
+
 fn main() -> ExitCode {
     let done = match Cli::parse().what {
         None => trials(&Trial::parse_from_defaults()),
@@ -136,13 +148,18 @@
     out.into_iter().map(|(_, done)| done).collect()
 }
 
-fn play(failure: Failure, controllers: usize, seed: u64) -> Result<Figures, String> {
+fn play(
+    failure: Failure,
+    controllers: usize,
+    seed: u64,
+    restart_s: f64,
+) -> Result<Figures, String> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .start_paused(true)
         .build()
         .map_err(|e| e.to_string())?;
-    Ok(runtime.block_on(trial::play(failure, controllers, seed)))
+    Ok(runtime.block_on(trial::play(failure, controllers, seed, restart_s)))
 }
 
 /// Median, 95% and most of some seconds.
@@ -163,8 +180,11 @@
 
 fn trials(trial: &Trial) -> Result<bool, String> {
     let controllers = usize::from(trial.controllers);
-    let runs: Vec<(Failure, u64)> = (trial.failure.iter())
-        .flat_map(|f| (0..u64::from(trial.runs)).map(move |n| (*f, trial.seed + n)))
+    let kinds = trial.failure.iter();
+    let kinds = kinds.flat_map(|f| trial.restart_after.iter().map(move |s| (*f, *s)));
+    let kinds: Vec<(Failure, f64)> = kinds.collect();
+    let runs: Vec<((Failure, f64), u64)> = (kinds.iter())
+        .flat_map(|kind| (0..u64::from(trial.runs)).map(move |n| (*kind, trial.seed + n)))
         .collect();
     if trial.log {
         tracing_subscriber::fmt()
@@ -174,7 +194,9 @@
             .init();
     }
     let threads = if trial.log { 1 } else { usize::MAX };
-    let one = |(failure, seed): &(Failure, u64)| play(*failure, controllers, *seed);
+    let one = |((failure, restart_s), seed): &((Failure, f64), u64)| {
+        play(*failure, controllers, *seed, *restart_s)
+    };
     let all = spread(threads, &runs, one);
     let all: Vec<Figures> = all.into_iter().collect::<Result<_, _>>()?;
     if trial.json {
@@ -192,8 +214,9 @@
             trial.runs
         );
         println!(
-            "{:18} {:18} {:18} {:18} {:18} {:>8} {:>11} {:>7} {:>7}",
+            "{:18} {:>5} {:18} {:18} {:18} {:18} {:>8} {:>11} {:>7} {:>7}",
             "failure",
+            "back",
             "without a round",
             "until suspected",
             "until judged",
@@ -203,8 +226,8 @@
             "false",
             "broken"
         );
-        for failure in &trial.failure {
-            println!("{}", row(*failure, &all));
+        for kind in &kinds {
+            println!("{}", row(*kind, &all));
         }
         for figures in all.iter().filter(|f| !f.broken.is_empty()) {
             println!("seed {}: {:?}", figures.seed, figures.broken);
@@ -227,8 +250,9 @@
     value.map_or(String::new(), |v| v.get_name().to_string())
 }
 
-fn row(failure: Failure, all: &[Figures]) -> String {
-    let of: Vec<&Figures> = all.iter().filter(|f| f.failure == failure).collect();
+fn row((failure, restart_s): (Failure, f64), all: &[Figures]) -> String {
+    let same = |f: &&Figures| f.failure == failure && f.restart_s == restart_s;
+    let of: Vec<&Figures> = all.iter().filter(same).collect();
     let most = |value: &dyn Fn(&Figures) -> usize| of.iter().map(|f| value(f)).max().unwrap_or(0);
     let sum = |value: &dyn Fn(&Figures) -> usize| of.iter().map(|f| value(f)).sum::<usize>();
     let unheard = sum(&|f| f.unheard);
@@ -239,7 +263,7 @@
         String::new()
     };
     format!(
-        "{:18} {} {} {} {}{unheard} {:>8} {:>7} of {:<2} {:>5} {:>7}",
+        "{:18} {restart_s:>5} {} {} {} {}{unheard} {:>8} {:>7} of {:<2} {:>5} {:>7}",
         name(failure),
         told(of.iter().map(|f| f.no_round_s)),
         told(of.iter().filter_map(|f| f.suspected_s)),
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -19,8 +19,14 @@
 pub enum Failure {
     /// Nothing.
     None,
-    /// The leader ends, and is back after four seconds.
+    /// The leader ends.
     Crash,
+    /// Another controller than the leader ends.
+    Other,
+    /// The leader ends, and again five times in a row as soon as it is back.
+    Five,
+    /// The leader ends while it starts, again and again, for 20 s.
+    Looping,
     /// The leader and another end within half a second.
     Two,
     /// The successor ends just after it has taken over.
@@ -55,6 +61,7 @@
     pub failure: Failure,
     pub controllers: usize,
     pub seed: u64,
+    pub restart_s: f64,
     /// The longest time without a planning round of any leader from the failure on, in
     /// seconds.
     pub no_round_s: f64,
@@ -205,8 +212,8 @@
     }
 }
 
-/// Plays a failure with some controllers, on a runtime whose time is paused.
-pub async fn play(failure: Failure, controllers: usize, seed: u64) -> Figures {
+/// Plays a failure with some controllers, on a runtime whose time is paused. Processes that end are started again after `restart_s`.
+pub async fn play(failure: Failure, controllers: usize, seed: u64, restart_s: f64) -> Figures {
     let mut random = SmallRng::seed_from_u64(seed);
     let mut site = Site::large(controllers, seed, 4000.0).await;
     site.submit(1, "standing", MACHINES, 4.0, 0.0).await;
@@ -224,11 +231,12 @@
     let failed: Vec<usize> = match failure {
         Failure::None | Failure::PeersRefuse => Vec::new(),
         Failure::Two => vec![leader, other],
+        Failure::Other => vec![other],
         Failure::Roll | Failure::All | Failure::AllSlow => (0..controllers).collect(),
         _ => vec![leader],
     };
     let mut watch = Watch::new(&site, &failed);
-    let mut script = Script::new(failure, controllers, leader);
+    let mut script = Script::new(failure, controllers, leader, restart_s);
     let looks = LOOKS * script.seconds;
     for look in 0..looks {
         script.act(&mut site, &mut watch, f64::from(look) / f64::from(LOOKS));
@@ -245,6 +253,7 @@
         failure,
         controllers,
         seed,
+        restart_s,
         no_round_s: watch.longest.as_secs_f64(),
         suspected_s: watch.suspected.map(|d| d.as_secs_f64()),
         judged_s: watch.judged.map(|d| d.as_secs_f64()),
@@ -290,10 +299,13 @@
     leader: usize,
     seconds: u32,
     done: BTreeSet<u32>,
+    restart_s: f64,
+    /// When processes that ended are started again.
+    back: BTreeMap<usize, f64>,
 }
 
 impl Script {
-    fn new(failure: Failure, controllers: usize, leader: usize) -> Script {
+    fn new(failure: Failure, controllers: usize, leader: usize, restart_s: f64) -> Script {
         let seconds = match failure {
             Failure::Roll => 20 * controllers as u32 + 30,
             Failure::Frozen | Failure::CutFromWorkers | Failure::Slow => 75,
@@ -306,6 +318,22 @@
             leader,
             seconds,
             done: BTreeSet::new(),
+            restart_s,
+            back: BTreeMap::new(),
+        }
+    }
+
+    /// Ends a process, which is started again in a while.
+    fn end(&mut self, site: &mut Site, i: usize, now: f64) {
+        site.crash(i);
+        self.back.insert(i, now + self.restart_s);
+    }
+
+    fn restart(&mut self, site: &mut Site, now: f64) {
+        let due = self.back.iter().filter(|(_, at)| **at <= now).map(|b| *b.0);
+        for i in due.collect::<Vec<_>>() {
+            self.back.remove(&i);
+            site.start(i);
         }
     }
 
@@ -316,6 +344,7 @@
 
     fn act(&mut self, site: &mut Site, watch: &mut Watch, now: f64) {
         let (leader, other) = (self.leader, (self.leader + 1) % self.controllers);
+        self.restart(site, now);
         let fault = match self.failure {
             Failure::Frozen => Some((Fault::Frozen(leader), 45.0)),
             Failure::Hiccup => Some((Fault::Frozen(leader), 3.0)),
@@ -333,12 +362,16 @@
             }
         }
         match self.failure {
-            Failure::Crash | Failure::Two | Failure::Successor => {
+            Failure::Crash | Failure::Other | Failure::Two | Failure::Successor => {
                 if self.due(0, 0.0, now) {
-                    site.crash(leader);
+                    let first = match self.failure {
+                        Failure::Other => other,
+                        _ => leader,
+                    };
+                    self.end(site, first, now);
                 }
                 if self.failure == Failure::Two && self.due(1, 0.4, now) {
-                    site.crash(other);
+                    self.end(site, other, now);
                 }
                 // Whoever has just come to lead.
                 if self.failure == Failure::Successor
@@ -347,17 +380,19 @@
                 {
                     self.done.insert(2);
                     watch.failed.insert(next);
-                    site.crash(next);
-                }
-                if self.due(3, 4.0, now) {
-                    let dead = (0..self.controllers).filter(|i| site.processes[*i].is_none());
-                    let dead: Vec<usize> = dead.collect();
-                    dead.into_iter().for_each(|i| site.start(i));
+                    self.end(site, next, now);
                 }
-                if self.due(4, 9.0, now) {
-                    let dead = (0..self.controllers).filter(|i| site.processes[*i].is_none());
-                    let dead: Vec<usize> = dead.collect();
-                    dead.into_iter().for_each(|i| site.start(i));
+            }
+            Failure::Five | Failure::Looping => {
+                let (times, lives) = match self.failure {
+                    Failure::Five => (5, 0.5),
+                    _ => ((20.0 / (self.restart_s + 0.1)) as u32, 0.1),
+                };
+                for n in 0..times {
+                    let at = f64::from(n) * (self.restart_s + lives);
+                    if self.due(n, at, now) {
+                        self.end(site, leader, now);
+                    }
                 }
             }
             Failure::Flapping => {
@@ -392,25 +427,17 @@
                     all.for_each(|(_, node)| node.load.pretend(node.times.round * halves / 4));
                 }
             }
-            Failure::Roll => {
+            Failure::Roll | Failure::All => {
+                let apart = match self.failure {
+                    Failure::Roll => 20.0,
+                    _ => 0.0,
+                };
                 for i in 0..self.controllers {
-                    let at = 20.0 * i as f64;
-                    if self.due(2 * i as u32, at, now) {
-                        site.crash(i);
-                    }
-                    if self.due(2 * i as u32 + 1, at + 4.0, now) {
-                        site.start(i);
+                    if self.due(i as u32, apart * i as f64, now) {
+                        self.end(site, i, now);
                     }
                 }
             }
-            Failure::All => {
-                if self.due(0, 0.0, now) {
-                    (0..self.controllers).for_each(|i| site.crash(i));
-                }
-                if self.due(1, 4.0, now) {
-                    (0..self.controllers).for_each(|i| site.start(i));
-                }
-            }
             _ => {}
         }
     }
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -352,6 +352,50 @@
     day.check();
 }
 
+/// Each try of a job with a mistake took as many machines as it has tasks, and tasks of a
+/// good one that failed on one machine held up all its others.
+#[tokio::test(start_paused = true)]
+async fn a_mistaken_job_costs_little_and_a_faulty_machine_holds_up_no_job() {
+    let mut day = Day::large(3, 15, 400.0).await;
+    let base = day.submit(1, "standing", 20, 4.0, 0.0).await;
+    day.pass(30).await;
+    day.world.rules().mistaken = ["j-000010", "j-000011"].map(String::from).into();
+    let first = day.world.workers().len();
+    let array = day.submit(10, "sweep", 60, 1.0, 10.0).await;
+    let gang = day.submit(11, "gang", 4, 4.0, 10.0).await;
+    day.pass(200).await;
+    // The first try is as of any job; afterwards one task, or one gang, at a time.
+    let failed = day.world.rules().failed;
+    assert!(failed <= 60 + 3 * 4 + 8, "{failed} starts for nothing");
+    // All tasks that come to the next machine fail.
+    let mut faulty = Vec::new();
+    faulty.extend((first..first + 1).map(|i| format!("i-{i:06}")));
+    faulty.extend(
+        (first + 15..first + 60)
+            .step_by(15)
+            .map(|i| format!("i-{i:06}")),
+    );
+    day.world.rules().faulty = faulty.into_iter().collect();
+    let good = vec![
+        day.submit(20, "sweep", 60, 1.0, 10.0).await,
+        day.submit(21, "gang", 4, 4.0, 10.0).await,
+    ];
+    day.all_done(&good, 60).await;
+    assert_eq!(day.state(&base).await.running, 20);
+    for uid in [&array, &gang] {
+        assert_eq!(day.state(uid).await.done, 0);
+        day.cancel(uid).await;
+    }
+    let failed = day.world.rules().failed;
+    day.pass(70).await;
+    assert_eq!(
+        day.world.rules().failed,
+        failed,
+        "cancelled jobs start nothing"
+    );
+    day.check();
+}
+
 #[tokio::test(start_paused = true)]
 async fn only_a_member_leads() {
     let mut day = Day::new(12);
--- a/crates/lab/tests/failures.rs
+++ b/crates/lab/tests/failures.rs
@@ -5,9 +5,14 @@
 
 /// The figures of some seeds of a failure, of which none may break a rule.
 async fn seeds(failure: Failure, controllers: usize) -> Vec<Figures> {
+    restarted(failure, controllers, 4.0).await
+}
+
+/// The same with processes that are back after so many seconds.
+async fn restarted(failure: Failure, controllers: usize, after_s: f64) -> Vec<Figures> {
     let mut all = Vec::new();
     for seed in 1..=2 {
-        let figures = play(failure, controllers, seed).await;
+        let figures = play(failure, controllers, seed, after_s).await;
         assert!(figures.broken.is_empty(), "{figures:#?}");
         assert_eq!(figures.false_verdicts, 0, "{failure:?} {figures:#?}");
         assert_eq!(figures.unheard, 0, "{failure:?} {figures:#?}");
@@ -92,3 +97,32 @@
         assert!(f.no_round_s < 3.0, "{f:#?}");
     }
 }
+
+/// A process that is back before anybody missed it: nobody need take over, and what the
+/// one before it left under way harms nothing.
+#[tokio::test(start_paused = true)]
+async fn who_is_back_at_once_costs_no_more_than_who_is_not() {
+    for after_s in [0.05, 0.5, 1.0] {
+        for failure in [Failure::Crash, Failure::Successor, Failure::All] {
+            for f in restarted(failure, 3, after_s).await {
+                assert!(f.no_round_s <= 2.5, "{f:#?}");
+                assert!(f.heard_s.iter().all(|s| *s < 5.0), "{f:#?}");
+            }
+        }
+    }
+}
+
+/// One that ended while it started, again and again, had the lead 134 times in 20 s, and
+/// its blocks each time: nobody heard their machines until it stayed.
+#[tokio::test(start_paused = true)]
+async fn who_comes_and_goes_leaves_lead_and_blocks_to_others() {
+    for after_s in [0.05, 0.5] {
+        for f in restarted(Failure::Looping, 3, after_s).await {
+            assert!(f.leaders <= 5 && f.no_round_s <= 2.5, "{f:#?}");
+            assert!(f.heard_s.iter().all(|s| *s < 8.0), "{f:#?}");
+        }
+        for f in restarted(Failure::Five, 3, after_s).await {
+            assert!(f.leaders <= 4 && f.no_round_s <= 2.5, "{f:#?}");
+        }
+    }
+}
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod market;
 pub mod predict;
 pub mod quota;
+pub mod retry;
 pub mod round;
 pub mod slot;
 pub mod slots;
--- a/crates/plan/src/round.rs
+++ b/crates/plan/src/round.rs
@@ -43,6 +43,9 @@
     /// By how much dearer ordinary and spot machines of a group count for this
     /// job, because there are no more of them and others gain more by them.
     pub bias: Vec<[f64; 2]>,
+    /// It failed wherever it ran: it is tried where there is room now, and nothing is
+    /// rented or kept for it.
+    pub probe: bool,
 }
 
 impl Waiting {
@@ -362,7 +365,7 @@
             let best = self.first(&mut order, &job, free_now);
             let startable = best.is_some_and(|(i, f)| f.start <= self.now && self.slots[i].up);
             let mut rented = None;
-            if !startable && !free_now {
+            if !startable && !free_now && !job.probe {
                 let otherwise = best.map_or(f64::INFINITY, |(i, f)| {
                     let slot = &self.slots[i];
                     self.score(slot.spot, slot.tasks == 0, &job.spec, &f)
@@ -475,7 +478,7 @@
     fn each(&mut self, job: &Waiting, out: &mut Decisions) -> Option<&'static str> {
         let team = self.teams.iter().find(|t| t.name == job.spec.team)?;
         let allowed = self.usage.room(team, job.amount, job.indexes.len());
-        let tried = self.plan(job, allowed, None, false, false);
+        let tried = self.plan(job, allowed, None, job.probe, false);
         let mut why = None;
         let placed = tried.chosen.len();
         for (index, (i, finish)) in job.indexes.iter().zip(tried.chosen) {
@@ -517,6 +520,9 @@
             }
             return None;
         }
+        if job.probe {
+            return Some("it fails wherever it runs");
+        }
         // Reserve what it will need, so that the fleet grows and later jobs
         // do not take the places it waits for; it starts once all are free.
         match self.earliest(job, &zones, false) {
@@ -614,6 +620,7 @@
             places: Places::default(),
             avoid: Vec::new(),
             bias: Vec::new(),
+            probe: false,
             image: n % 3,
             spec,
         }
@@ -695,6 +702,43 @@
         assert!((1..100).contains(&looked), "{looked} of 2000 machines");
     }
 
+    /// A job that fails wherever it runs keeps nothing from others.
+    #[test]
+    fn what_is_only_tried_keeps_no_place_and_rents_nothing() {
+        let teams = [unlimited()];
+        let kinds = types();
+        for (shape, probe) in [("gang", true), ("gang", false), ("sweep", true)] {
+            let mut round = round(&teams, &mut 3);
+            round.slots = Slots::new(100.0, 1);
+            let mut slot = Slot::new("m".into(), 0, &kinds[0], 0, false, 100.0);
+            slot.up = true;
+            let whole = slot.whole;
+            slot.take(whole, 100.0, 120.0);
+            round.slots.push(slot);
+            round.rent_from = 1;
+            let offer = Slot::new("".into(), 0, &kinds[0], 0, false, 130.0);
+            round.offers = vec![Offer {
+                slot: offer,
+                ours: 0,
+                left: 9,
+                taken: 0,
+            }];
+            let mut one = job(1, 1.0, 60.0, false);
+            let mut spec = (*one.spec).clone();
+            spec.shape = if shape == "gang" {
+                Shape::Gang
+            } else {
+                Shape::Array
+            };
+            (one.spec, one.probe, one.indexes) = (Arc::new(spec), probe, vec![0, 1]);
+            let decisions = round.run(std::slice::from_ref(&one));
+            assert!(decisions.placed.is_empty() && decisions.waits.len() == 1);
+            let kept = round.slots.iter().map(|s| s.tasks).sum::<usize>();
+            assert_eq!(kept, if probe { 1 } else { 3 }, "{shape}");
+            assert_eq!(round.slots.len(), 1);
+        }
+    }
+
     /// Keeping the machines in order must find what looking at every machine
     /// for every task finds.
     #[test]
--- a/crates/rushwalk/src/admin.rs
+++ b/crates/rushwalk/src/admin.rs
@@ -88,7 +88,7 @@
         "snapshot": {"at": view.base.at, "chunks": view.base.chunks, "entries_since": view.entries},
         "standings": lock(&node.detector).told(node.uptime(), own),
         "members": view.members.keys().collect::<Vec<_>>(),
-        "grants": grants, "machines": machines,
+        "grants": grants, "machines": machines, "served": view.served,
         "up_s": up_s, "busy_s": busy_s, "late_ms": node.load.late().as_millis() as u64,
         "trouble": trouble, "last_trouble": last_trouble,
         "connections": {"open": connections, "workers": workers}, "work": node.meter.told(), "rentals": view.rentals.len(), "jobs_active": view.active.len(),
--- a/crates/rushwalk/src/fleet/placing.rs
+++ b/crates/rushwalk/src/fleet/placing.rs
@@ -7,6 +7,7 @@
 use crate::view::{Name, View};
 use rushwalk_plan::Amount;
 use rushwalk_plan::quota::Usage;
+use rushwalk_plan::retry::{Failures, Retry, retry};
 use rushwalk_plan::round::{Decisions, Round, Waiting};
 use rushwalk_plan::urgency::{Needs, start_by};
 use rushwalk_wire::jobs::{Priority, Shape};
@@ -108,14 +109,19 @@
         if spec.shape == Shape::Gang && !job.tasks.is_empty() {
             continue;
         }
-        // A job that fails wherever it runs is tried ever more rarely.
         let trouble = &job.trouble;
-        let pause = 1000u64 << trouble.count.min(6);
-        if trouble.count > 1 && now < trouble.last + pause {
+        let failures = Failures {
+            machines: trouble.machines.len(),
+            works: job.done.count() > 0 || job.tasks.values().any(|t| t.task.ran.is_some()),
+            since_s: now.saturating_sub(trouble.last) as f64 / 1000.0,
+        };
+        let retry = retry(failures, node.times.round.as_secs_f64());
+        if retry == Retry::Later {
             continue;
         }
-        let most = match spec.shape {
-            Shape::Gang => spec.tasks as usize,
+        let most = match (spec.shape, retry) {
+            (Shape::Gang, _) => spec.tasks as usize,
+            (_, Retry::One) => 1,
             _ => each,
         };
         let mut waiting = slots::waiting(view, &spec, types);
@@ -130,6 +136,7 @@
         if trouble.machines.len() <= 3 {
             waiting.avoid = trouble.machines.clone();
         }
+        waiting.probe = retry == Retry::One;
         waiting.indexes = view.waiting(&uid, most);
         if waiting.indexes.is_empty() {
             continue;
--- a/crates/rushwalk/src/handover.rs
+++ b/crates/rushwalk/src/handover.rs
@@ -269,6 +269,9 @@
             leaderless = None;
             continue;
         }
+        if node.unsteady() {
+            leave_to_others(&node).await;
+        }
         let since = *leaderless.get_or_insert_with(Instant::now);
         if since.elapsed() < turn(&node) {
             // Nothing may change meanwhile but the time.
@@ -316,7 +319,7 @@
     let step = node.times.round / 4;
     let line = (step * place as u32).min(node.times.member / 2);
     // Who laid it down or lost it of late leaves it to others, if there are any.
-    let unfit = match place > 0 && !fit {
+    let unfit = match place > 0 && !fit || !others.is_empty() && node.unsteady() {
         true => node.times.round * 2,
         false => Duration::ZERO,
     };
@@ -369,6 +372,27 @@
     }
 }
 
+/// The lead still belongs to our process before this one, which ended as soon as it had
+/// it: its key is removed, so that somebody takes it who may live longer. One that ended
+/// again and again while it started took the lead each time, for 20 s, and its machines
+/// were heard by nobody.
+async fn leave_to_others(node: &Node) {
+    let txn = {
+        let view = node.view();
+        let ours = |l: &rec::Leader| l.member == node.me() && view.members.len() > 1;
+        match &view.leader {
+            Some((version, leader)) if ours(leader) => {
+                Transaction::default().when(LEADER, *version).delete(LEADER)
+            }
+            _ => return,
+        }
+    };
+    if let Outcome::Done(revision) = node.commit(txn, For::Order).await {
+        tracing::info!("leaving the lead to others: the process before ended soon");
+        node.reached(revision, node.times.round * 2).await;
+    }
+}
+
 /// Takes the lead if nobody has it who lives.
 pub async fn elect(node: &Node, lease: u64) {
     if !node.registered() {
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -181,6 +181,9 @@
     append(node, version, &ops, For::Work).await;
 }
 
+/// Who left more often than this of late gets no blocks while others can have them.
+const FLIGHTY: usize = 2;
+
 /// Lends blocks that nobody holds, or whose holder is cut off from them, and one
 /// that is better off elsewhere. With those that had a holder and needed another, and
 /// those whose machines turned up elsewhere.
@@ -192,8 +195,18 @@
     let lately = |at: Option<&Instant>, span: Duration| at.is_some_and(|at| at.elapsed() < span);
     let detector = lock(&node.detector);
     let uptime = node.uptime();
+    // Started again and again: it may go before anybody has come to it. Not if that is
+    // what most do: the others could not bear it all.
+    let flighty = |name: &str| {
+        let damping = &detector.damping;
+        damping.count(uptime, name) > FLIGHTY && !damping.fit(uptime, name)
+    };
+    let few = 2 * view.members.keys().filter(|name| flighty(name)).count() < view.members.len();
     // One that is judged has nothing, whether or not its lease lasts.
-    let there = |(name, m): &(&String, &rec::Member)| !detector.dead(name, m.nonce);
+    let there = |(name, m): &(&String, &rec::Member)| {
+        let leaves = few && flighty(name);
+        !leaves && !detector.dead(name, m.nonce)
+    };
     let names: Vec<&String> = view.members.iter().filter(there).map(|m| m.0).collect();
     // Leading takes about as much as half a share of the machines.
     let share = view.machines.len() / names.len().max(1) / 2;
@@ -219,11 +232,12 @@
             let step = node.times.member.max(node.times.report);
             let unproven = detector.damping.count(uptime, name) > 1
                 || lately(memory.cut_off.get(name.as_str()), node.times.lease);
+            let fit = detector.damping.fit(uptime, name);
             let proven = !unproven || !lately(memory.given.get(name.as_str()), step);
             Member {
                 name,
                 zone: &m.zone,
-                settled: now > m.since_ms + pause && detector.damping.fit(uptime, name) && proven,
+                settled: now > m.since_ms + pause && fit && proven,
                 extra: if name == node.me() { share } else { 0 },
                 able: !detector.doubtful(name) && !slow,
                 slow,
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -9,6 +9,7 @@
 use crate::reports::Reports;
 use crate::seats::Seats;
 use crate::view::View;
+use crate::view::served::Count;
 use rushwalk_clients::budget::Budget;
 use rushwalk_clients::state::{Outcome, State};
 use rushwalk_clients::{Http, cloud::Cloud, mesh::Mesh, worker::Workers};
@@ -18,7 +19,7 @@
 use rushwalk_wire::settings::Settings;
 use rushwalk_wire::state::Transaction;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU16, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc, watch};
@@ -88,6 +89,9 @@
     pub passed: Mutex<Option<Instant>>,
     /// How far this leader's rounds are apart in the mean.
     pub pace: Mutex<Duration>,
+    /// The process before this one ended within a member lease of its beginning: this one
+    /// may, too.
+    pub comes_and_goes: AtomicBool,
     /// The lead was taken: the first round need not wait for its turn.
     pub led: Notify,
     pub write_budget: Mutex<Budget>,
@@ -199,6 +203,13 @@
         let lag_ms = node.load.lag().as_millis() as u64;
         let work = node.meter.told();
         tracing::info!(up_s, busy_s, late_ms, lag_ms, connections, workers, %work, "time spent");
+        let view = node.view();
+        let [class, team] = view.served.least();
+        let share = |c: Count| (c.share() * 1000.0).round() / 1000.0;
+        if let (Some((class, c)), Some((team, t))) = (class, team) {
+            let (started, of_team) = (share(c), share(t));
+            tracing::info!(class, started, ?c, team, of_team, ?t, "served least");
+        }
     }
 }
 
@@ -239,6 +250,7 @@
             pace: Mutex::new(times.round),
             // Until more is known there is no room for others' work.
             busy_share: AtomicU16::new(1000),
+            comes_and_goes: AtomicBool::new(false),
             led: Notify::new(),
             write_budget: Mutex::new(Budget::shared(share, writes, now)),
             slots: Mutex::default(),
@@ -276,6 +288,12 @@
         (tenths(self.started.elapsed()), tenths(busy))
     }
 
+    /// Whether this process has not yet lived for longer than the one before it, which
+    /// ended soon.
+    pub fn unsteady(&self) -> bool {
+        self.comes_and_goes.load(Ordering::Relaxed) && self.started.elapsed() < self.times.member
+    }
+
     /// Seconds since the start, by the steady clock.
     pub fn uptime(&self) -> f64 {
         self.started.elapsed().as_secs_f64()
--- a/crates/rushwalk/src/slots.rs
+++ b/crates/rushwalk/src/slots.rs
@@ -39,6 +39,7 @@
         places: Places::default(),
         avoid: Vec::new(),
         bias: Vec::new(),
+        probe: false,
     }
 }
 
--- a/crates/rushwalk/src/sync.rs
+++ b/crates/rushwalk/src/sync.rs
@@ -8,6 +8,7 @@
 use rushwalk_wire::records::{self as rec, ROOT};
 use rushwalk_wire::state::{Changes, Transaction};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -184,6 +185,11 @@
     }
     let txn = {
         let view = node.view();
+        let before = view.members.get(node.me());
+        if let Some(before) = before.filter(|m| m.nonce != node.nonce) {
+            let soon = now_ms() < before.since_ms + node.times.member.as_millis() as u64;
+            node.comes_and_goes.store(soon, Ordering::Relaxed);
+        }
         let member = rec::Member {
             zone: node.settings.zone.clone(),
             nonce: node.nonce,
--- a/crates/rushwalk/src/view.rs
+++ b/crates/rushwalk/src/view.rs
@@ -7,6 +7,7 @@
 //! harmless. Who commits must look here for what became of it.
 
 mod apply;
+pub mod served;
 
 use rushwalk_plan::market::Kind;
 use rushwalk_plan::predict::{Averages, Rolling};
@@ -17,6 +18,7 @@
 };
 use rushwalk_wire::state::{Changes, Event, Item, Value};
 use serde::de::DeserializeOwned;
+use served::Served;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
@@ -31,6 +33,8 @@
     pub tasks: BTreeMap<u32, TaskRow>,
     pub done: Bits,
     pub trouble: Trouble,
+    /// A task of it was seen running.
+    pub started: bool,
     /// All tasks below are live or done.
     open: u32,
 }
@@ -123,6 +127,8 @@
     pub arrivals: HashMap<String, VecDeque<(u64, Arc<JobSpec>)>>,
     /// Numbers of images. They are this process's own.
     images: HashMap<Name, ImageId>,
+    /// Who is served, since this process first listed everything.
+    pub served: Served,
 }
 
 /// Arrivals kept per class.
@@ -179,6 +185,7 @@
             dirty: BTreeSet::new(),
             arrivals: HashMap::new(),
             images: HashMap::new(),
+            served: Served::default(),
         }
     }
 
@@ -241,6 +248,10 @@
     /// Puts a newly listed view in this one's place; what was learnt stays.
     pub fn replace(&mut self, mut view: View) {
         std::mem::swap(&mut self.averages, &mut view.averages);
+        if !self.served.classes.is_empty() {
+            // What was counted goes on; what was missed meanwhile is not in it.
+            std::mem::swap(&mut self.served, &mut view.served);
+        }
         view.dirty = view.machines.keys().cloned().collect();
         *self = view;
     }
@@ -537,6 +548,20 @@
         assert_eq!(first.machines["m-2"].tasks, second.machines["m-2"].tasks);
     }
 
+    /// Teams are seen nowhere else, and less than half of one served fails a day.
+    #[test]
+    fn who_is_served_is_counted_once_by_class_and_by_team() {
+        let mut twice = day();
+        twice.extend(day().into_iter().map(|(at, op)| (at + 20, op)));
+        for view in [view(day()), view(twice)] {
+            let count = view.served.teams["red"];
+            let all = [count.accepted, count.started, count.done, count.cancelled];
+            assert_eq!((all, count.withdrawn), ([3, 1, 0, 1], 1));
+            assert_eq!(view.served.least()[0], Some(("a", count)));
+            assert_eq!(count.share(), 0.5, "one of two that were not withdrawn");
+        }
+    }
+
     /// Entries may come late, twice, or from a holder that was replaced.
     #[test]
     fn changes_whose_ground_has_moved_do_nothing() {
--- a/crates/rushwalk/src/view/apply.rs
+++ b/crates/rushwalk/src/view/apply.rs
@@ -118,6 +118,9 @@
             Op::Finished(uid, from, digits) => {
                 if let Some(job) = self.jobs.get_mut(&uid) {
                     job.done.read(from, &digits);
+                    if job.done.count() > 0 && !std::mem::replace(&mut job.started, true) {
+                        self.served.count(&job.spec, |c| c.started += 1);
+                    }
                 }
             }
             Op::Live(uid, tasks) => {
@@ -148,6 +151,7 @@
         }
         self.active.insert((spec.priority, at, uid.clone()));
         number(&mut self.images, &spec.image);
+        self.served.count(&spec, |c| c.accepted += 1);
         let row = JobRow {
             spec,
             phase: Phase::Active,
@@ -155,6 +159,7 @@
             tasks: BTreeMap::new(),
             done: Bits::default(),
             trouble: Trouble::default(),
+            started: false,
             open: 0,
         };
         self.jobs.insert(uid, row);
@@ -166,6 +171,18 @@
             return;
         };
         job.phase = phase;
+        let started = job.started;
+        self.served.count(&job.spec, |c| match phase {
+            Phase::Done => {
+                c.done += 1;
+                // The shortest end before they are seen running.
+                c.started += u32::from(!started);
+            }
+            _ => {
+                c.cancelled += 1;
+                c.withdrawn += u32::from(!started);
+            }
+        });
         self.active
             .remove(&(job.spec.priority, job.at, uid.clone()));
         let mut unplaced = Vec::new();
@@ -246,6 +263,9 @@
             }
         }
         if let Some(job) = self.jobs.get_mut(&uid) {
+            if task.ran.is_some() && !std::mem::replace(&mut job.started, true) {
+                self.served.count(&job.spec, |c| c.started += 1);
+            }
             job.tasks.insert(index, TaskRow { task, cold: None });
         }
         self.live.insert(uid);
@@ -331,6 +351,9 @@
                 continue;
             }
             row.task.ran = Some(at);
+            if !std::mem::replace(&mut job.started, true) {
+                self.served.count(&job.spec, |c| c.started += 1);
+            }
             let machine = row.task.machine.as_ref();
             let Some(there) = machine.and_then(|m| self.machines.get_mut(m)) else {
                 continue;
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -1,7 +1,7 @@
 //! The protocol's rules, checked as tasks start and users are answered.
 
 use rushwalk_wire::jobs::{JobSpec, Shape};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -17,9 +17,21 @@
     cancelled: HashMap<String, Instant>,
     pub broken: Vec<String>,
     pub started: usize,
+    /// Jobs whose tasks fail wherever they start, and machines on which all do.
+    pub mistaken: HashSet<String>,
+    pub faulty: HashSet<String>,
+    /// Starts that failed for either.
+    pub failed: usize,
 }
 
 impl Rules {
+    /// Whether a task fails as it starts.
+    pub fn fails(&mut self, uid: &str, machine: &str) -> bool {
+        let fails = self.mistaken.contains(uid) || self.faulty.contains(machine);
+        self.failed += usize::from(fails);
+        fails
+    }
+
     pub fn starts(&mut self, uid: &str, index: u32, machine: &str) {
         self.started += 1;
         let name = (uid.to_string(), index);
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -63,12 +63,14 @@
                         .jobs
                         .get(uid)
                         .is_some_and(|s| s.shape == rushwalk_wire::jobs::Shape::Service);
-                    if !busy {
+                    let fails = !busy && rules.fails(uid, &self.name);
+                    if !busy && !fails {
                         rules.starts(uid, index, &self.name);
                     }
-                    let (state, cause) = match busy {
-                        true => (TaskState::Exited, Some(ExitCause::Busy)),
-                        false => (TaskState::Running, None),
+                    let (state, cause) = match (busy, fails) {
+                        (true, _) => (TaskState::Exited, Some(ExitCause::Busy)),
+                        (_, true) => (TaskState::Exited, Some(ExitCause::Error)),
+                        _ => (TaskState::Running, None),
                     };
                     let report = TaskReport {
                         task: piece.clone(),
