--- a/crates/rushwalk/src/fleet/placing.rs
+++ b/crates/rushwalk/src/fleet/placing.rs
@@ -141,6 +141,14 @@
         if waiting.indexes.is_empty() {
             continue;
         }
+        if waiting.probe && job.tasks.is_empty() {
+            let machines = trouble.machines.len();
+            tracing::debug!(
+                job = &*uid,
+                machines,
+                "fails wherever it runs, tried once more"
+            );
+        }
         out.push(waiting);
     }
     out
