--- a/crates/rushwalk/src/fleet/placing.rs
+++ b/crates/rushwalk/src/fleet/placing.rs
@@ -137,12 +137,13 @@
             waiting.avoid = trouble.machines.clone();
         }
         waiting.probe = retry == Retry::One;
+        let again = waiting.probe && job.tasks.is_empty();
+        let machines = trouble.machines.len();
         waiting.indexes = view.waiting(&uid, most);
         if waiting.indexes.is_empty() {
             continue;
         }
-        if waiting.probe && job.tasks.is_empty() {
-            let machines = trouble.machines.len();
+        if again {
             tracing::debug!(
                 job = &*uid,
                 machines,
