--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -396,6 +396,64 @@
     day.check();
 }
 
+/// Users who ask again and again share one read, also while the lead passes, and who
+/// submits or cancels need not wait behind them.
+#[tokio::test(start_paused = true)]
+async fn a_storm_of_polls_in_a_takeover_holds_up_nobody() {
+    let mut day = Day::new(16);
+    let service = day.submit(1, "standing", 4, 1.0, 0.0).await;
+    day.pass(20).await;
+    let leader = day.leader();
+    day.crash(leader);
+    let path = format!("/api/jobs/{service}");
+    let mut polls = tokio::task::JoinSet::new();
+    for n in 0..2000u64 {
+        let (world, path) = (day.world.clone(), path.clone());
+        let node = (leader + 1 + n as usize % 2) % 3;
+        polls.spawn(async move {
+            tokio::time::sleep(Duration::from_millis(2 * n)).await;
+            let call = world.ask(node, "GET", &path, Vec::new());
+            tokio::time::timeout(Duration::from_secs(2), call).await
+        });
+    }
+    let began = tokio::time::Instant::now();
+    let job = day.submit(2, "sweep", 2, 1.0, 5.0).await;
+    day.cancel(&service).await;
+    let took = began.elapsed();
+    assert!(took < Duration::from_secs(3), "{took:?} for two changes");
+    let (mut told, mut later) = (0, 0);
+    while let Some(answer) = polls.join_next().await {
+        match answer.unwrap() {
+            Ok(Some((200, _))) => told += 1,
+            Ok(Some((429 | 503, _))) => later += 1,
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(told > 1900, "{told} told, {later} to come again");
+    day.all_done(&[job], 60).await;
+    day.check();
+}
+
+/// An array of thousands of short tasks, half way through which the leader ends.
+#[tokio::test(start_paused = true)]
+async fn a_long_array_goes_on_over_a_crash_and_writes_by_rounds() {
+    let mut day = Day::large(3, 17, 200.0).await;
+    let array = day.submit(1, "sweep", 2000, 1.0, 4.0).await;
+    day.pass(30).await;
+    let half = day.state(&array).await.done;
+    assert!((100..1900).contains(&half), "{half} done when it ends");
+    let leader = day.leader();
+    day.crash(leader);
+    day.pass(1).await;
+    day.start(leader);
+    let before = day.world.writes();
+    day.all_done(&[array], 120).await;
+    assert_eq!(day.world.rules().started, 2000, "none was started twice");
+    let writes = day.world.writes() - before;
+    assert!(writes < 1200, "{writes} changes for {} tasks", 2000 - half);
+    day.check();
+}
+
 #[tokio::test(start_paused = true)]
 async fn only_a_member_leads() {
     let mut day = Day::new(12);
