A huge array's assignment is split; as one change it fitted no value and was dropped

Change: assignments and their return are split into changes of 100 tasks; a gang stays whole and beyond 800 tasks goes without the machines the leader had in mind. Ruled out: the plan's time (0.05 s a round), failures of the job, idle-time work before it.

--- a/crates/rushwalk/src/fleet/placing.rs
+++ b/crates/rushwalk/src/fleet/placing.rs
@@ -188,11 +188,46 @@
         if job.spec.shape == Shape::Gang {
             tracing::info!(job = &**uid, tasks = placed.len(), "gang assigned");
         }
-        ops.push(Op::Assign(uid.clone(), now, to.into_iter().collect()));
+        ops.extend(assignments(uid, job.spec.shape, now, to));
     }
     ops
 }
 
+/// So many tasks with their machines fit the smallest value; a larger gang, which is
+/// assigned whole, goes without them, and its holders search.
+const WHOLE: usize = 8 * LISTED;
+
+/// The changes that give a job's tasks to blocks. An array's are split: with 900 places
+/// free at a time its one change fitted no value, so none of it started, round after
+/// round, for as long as there was room for so many.
+fn assignments(
+    uid: &Name,
+    shape: Shape,
+    now: u64,
+    to: BTreeMap<Name, Vec<(u32, Name)>>,
+) -> Vec<Op> {
+    let assign = |to| Op::Assign(uid.clone(), now, to);
+    if shape == Shape::Gang {
+        let whole = to.values().map(Vec::len).sum::<usize>() <= WHOLE;
+        let to = to.into_iter().map(|(block, mut tasks)| {
+            if !whole {
+                let none: Name = "".into();
+                tasks.iter_mut().for_each(|task| task.1 = none.clone());
+            }
+            (block, tasks)
+        });
+        return vec![assign(to.collect())];
+    }
+    let some = |(block, tasks): (Name, Vec<(u32, Name)>)| {
+        let parts: Vec<Op> = tasks
+            .chunks(LISTED)
+            .map(|part| assign(vec![(block.clone(), part.to_vec())]))
+            .collect();
+        parts
+    };
+    to.into_iter().flat_map(some).collect()
+}
+
 /// A task that runs this many times its predicted time is overdue (§4.4).
 const OVERDUE: f64 = 2.0;
 
@@ -267,3 +302,39 @@
     }
     ops
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// 16 KiB is the least that a value may hold on any site so far.
+    #[test]
+    fn whatever_is_placed_in_a_round_fits_the_values() {
+        let to = |n: u32| -> BTreeMap<Name, Vec<(u32, Name)>> {
+            let block = |b: u32| {
+                let tasks = (b * n..(b + 1) * n).map(|i| (98_000 + i, "i-000123".into()));
+                (format!("a-zone#{b}").into(), tasks.collect())
+            };
+            (0..3).map(block).collect()
+        };
+        let uid: Name = "j-000001".into();
+        for (shape, n) in [
+            (Shape::Array, 700),
+            (Shape::Service, 266),
+            (Shape::Gang, 266),
+            (Shape::Gang, 400),
+        ] {
+            let ops = assignments(&uid, shape, 1_700_000_000_000, to(n));
+            let tasks = ops.iter().map(|op| match op {
+                Op::Assign(_, _, to) => to.iter().map(|b| b.1.len()).sum::<usize>(),
+                _ => 0,
+            });
+            assert_eq!(tasks.sum::<usize>(), 3 * n as usize, "{shape:?}");
+            for op in &ops {
+                let bytes = serde_json::to_string(op).unwrap().len();
+                assert!(bytes < (16 << 10) - 64, "{shape:?}: {bytes} bytes");
+            }
+            assert_eq!(ops.len() == 1, shape == Shape::Gang);
+        }
+    }
+}
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -425,7 +425,9 @@
         }
     }
     for ((uid, attempt), tasks) in back {
-        ops.push(Op::Unassign(uid, attempt, tasks));
+        for some in tasks.chunks(LISTED) {
+            ops.push(Op::Unassign(uid.clone(), attempt, some.to_vec()));
+        }
     }
     for ((uid, attempt, why), tasks) in stops {
         let why = [StopWhy::Gang, StopWhy::Drain][usize::from(why.min(1))];
