--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -140,16 +140,18 @@
         return true;
     }
     let outcome = node.append(&[(LEADER.into(), version)], ops, whom).await;
-    judge(node, outcome)
+    judge(node, &outcome)
 }
 
 /// Commits under our leadership.
 pub async fn commit(node: &Node, txn: Transaction, whom: For) -> bool {
     let outcome = node.commit(txn, whom).await;
-    judge(node, outcome)
+    judge(node, &outcome)
 }
 
-fn judge(node: &Node, outcome: Outcome) -> bool {
+/// Whether a commit under our leadership was taken; one of unknown fate is fenced
+/// before anything else is decided.
+pub fn judge(node: &Node, outcome: &Outcome) -> bool {
     match outcome {
         Outcome::Done(_) => true,
         Outcome::Unknown(_) => {
--- a/crates/rushwalk/src/log.rs
+++ b/crates/rushwalk/src/log.rs
@@ -55,13 +55,20 @@
                 .filter(|(n, version)| *version <= view.base.at && !self.using.contains_key(n));
             self.free = free.map(|(n, _)| *n).collect();
         }
-        let n = self.free.pop_front().unwrap_or_else(|| {
-            self.next += 1;
-            self.next - 1
-        });
-        let before = view.log.get(&entry_key(member, n)).copied().unwrap_or(0);
-        self.using.insert(n, before);
-        (n, before)
+        loop {
+            let n = self.free.pop_front().unwrap_or_else(|| {
+                self.next += 1;
+                self.next - 1
+            });
+            let before = view.log.get(&entry_key(member, n)).copied().unwrap_or(0);
+            // Written since, by a commit of the process before this one that came
+            // late: its entry is in no snapshot, and would be lost to whoever lists.
+            if before > view.base.at {
+                continue;
+            }
+            self.using.insert(n, before);
+            return (n, before);
+        }
     }
 
     /// Nothing was written: it can be used at once.
@@ -247,5 +254,11 @@
         assert_eq!(slots.take(&view, "a"), (2, 0));
         slots.put_back(2);
         assert_eq!(slots.take(&view, "a"), (2, 0));
+        // A commit of the process before came late, into a key that looked free: it
+        // was overwritten, and who listed then had never heard of a job accepted in it.
+        slots.put_back(2);
+        view.log.insert(entry_key("a", 2), 14);
+        view.log.insert(entry_key("a", 3), 15);
+        assert_eq!(slots.take(&view, "a"), (4, 0));
     }
 }
--- a/crates/rushwalk/src/snapshot.rs
+++ b/crates/rushwalk/src/snapshot.rs
@@ -1,6 +1,7 @@
 //! Snapshots: the leader writes down what the log has come to, so that its keys
 //! can be used again and a controller that starts has little to read.
 
+use crate::leader::judge;
 use crate::log;
 use crate::meter::Work;
 use crate::node::{For, Node};
@@ -81,10 +82,15 @@
             });
         }
         loop {
-            match node.commit(txn.clone(), For::Upkeep).await {
-                Outcome::Done(_) => break,
+            let outcome = node.commit(txn.clone(), For::Upkeep).await;
+            if judge(node, &outcome) {
+                break;
+            }
+            match outcome {
                 // Too much at once: others go first.
                 Outcome::Refused(_) => sleep(node.times.round / 2).await,
+                // Of unknown fate it would, coming late, replace a chunk of the next try
+                // once that counts, and nobody could read the snapshot any more.
                 _ => return false,
             }
             let view = node.view();
@@ -100,5 +106,6 @@
         .put(rec::BASE, &base);
     let outcome = node.commit(txn, For::Work).await;
     tracing::info!(at = base.at, chunks = base.chunks, ?outcome, "snapshot");
-    matches!(outcome, Outcome::Done(_))
+    // A head that comes late must not name chunks that were written anew since.
+    judge(node, &outcome)
 }
