Ends that may come late, and machines that hear nothing

Cause: (1) a holder put a task's end forward, the commit went unanswered, the machine came back and the task was started there again under the same attempt; then the end came late and it was started elsewhere. (2) A machine whose reports arrive while nothing reaches it was never silent, and its lease never over: its tasks waited until it heard again, and it was given more. With a whole block of them the block went round the controllers, since such workers turn up at everybody, and each change began the wait anew.

Change: (1) attempts of which an end was put forward are not started again by that holder. A new holder has another token, which the late commit fails on. (2) What the next report shows of an answer decides whether it counts as a renewal. One to whom nothing came through for as long as makes a machine silent is silent, and is well again only once it shows our token. If its reports show a token below ours when a loan and a lease are over since we hold it, nobody can have renewed its lease, and all that is not in the report is gone (Heard::lapse has the argument). A block that was moved once for silence or strays is not moved again before that has been decided. A question under way no longer keeps an absence from being proved.

Ruled out: taking a new session for the proof; a holder before us may have heard of it within its loan and have commands under way to it.

--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -191,14 +191,22 @@
         let Some(worker) = reports.all.get_mut(name) else {
             continue;
         };
-        marks(node, name, row, worker, &mut out);
-        let lost = row.machine.silent.is_some() && worker.lease_over(token, &node.times);
+        marks(node, name, row, token, worker, &mut out);
+        if !worker.ended.is_empty() {
+            worker.ended.retain(|(uid, index, attempt)| {
+                let task = view.task(uid, *index);
+                task.is_some_and(|(_, t)| t.task.attempt == *attempt)
+            });
+        }
+        let silent = row.machine.silent.is_some();
+        let lost = silent && worker.lease_over(token, &node.times);
         for (uid, index) in &row.tasks {
             let Some((job, t)) = view.task(uid, *index) else {
                 continue;
             };
             let attempt = t.task.attempt;
             let active = job.phase == Phase::Active;
+            let mut end = None;
             match worker.says(uid, *index, attempt) {
                 Some(r) if r.state == TaskState::Exited => {
                     let how = match r.cause {
@@ -211,11 +219,11 @@
                     if how != How::Done {
                         tracing::info!(task = r.task, machine = &**name, cause = ?r.cause, "task ended");
                     }
-                    out.ends(uid, attempt, how, *index);
+                    end = Some(how);
                 }
                 _ if lost => {
                     tracing::info!(job = &**uid, index, machine = &**name, "lease ran out");
-                    out.ends(uid, attempt, How::Gone, *index);
+                    end = Some(How::Gone);
                 }
                 Some(r) => {
                     if r.state == TaskState::Running && t.task.ran.is_none() {
@@ -237,20 +245,36 @@
                     }
                 }
                 None => {
-                    let unwanted = !active || t.task.stop.is_some() || t.task.ran.is_some();
-                    if unwanted && worker.proves_absence(token) {
+                    let over = !active || t.task.stop.is_some() || t.task.ran.is_some();
+                    let ended = worker.ended.contains(&(uid.clone(), *index, attempt));
+                    // What a machine that can't be told of it has not started goes
+                    // elsewhere.
+                    let unwanted = over || ended || silent;
+                    let absent = unwanted && worker.proves_absence(token);
+                    if absent || worker.lapsed(token) {
                         tracing::info!(job = &**uid, index, machine = &**name, "task gone");
-                        out.ends(uid, attempt, How::Gone, *index);
+                        end = Some(How::Gone);
                     }
                 }
             }
+            if let Some(how) = end {
+                worker.ended.insert((uid.clone(), *index, attempt));
+                out.ends(uid, attempt, how, *index);
+            }
         }
     }
     out.into_ops(now)
 }
 
 /// Marks on a machine's record: up, recalled, silent.
-fn marks(node: &Node, name: &Name, row: &MachineRow, worker: &mut Heard, out: &mut Gathered) {
+fn marks(
+    node: &Node,
+    name: &Name,
+    row: &MachineRow,
+    token: u64,
+    worker: &mut Heard,
+    out: &mut Gathered,
+) {
     let machine = &row.machine;
     if worker.heard.is_some() {
         if machine.up.is_none() || *machine.address != *worker.address {
@@ -264,11 +288,14 @@
     // A new holder gives every worker time to find it, and asks those that it
     // does not hear of: a lost report is no silence.
     let last = worker.heard.max(worker.since.map(|s| s.1));
+    let deaf = worker.deaf(&node.times);
     if machine.up.is_some()
         && let Some(last) = last
     {
-        let asked = worker.probed_at.is_some_and(|at| at > last) && !worker.inflight;
-        if last.elapsed() > node.times.silent {
+        // One that is heard, but can be told nothing, is of no more use.
+        let asked = deaf || worker.probed_at.is_some_and(|at| at > last);
+        let asked = asked && !worker.inflight;
+        if last.elapsed() > node.times.silent || deaf {
             if machine.silent.is_none() && asked {
                 if !std::mem::replace(&mut worker.told, true) {
                     tracing::info!(machine = &**name, "silent");
@@ -276,6 +303,9 @@
                 out.silent.push(name.clone());
             }
         } else if machine.silent.is_some()
+            // It must have heard us, too: each new holder took one that hears nobody to
+            // be well, and gave it work.
+            && worker.token >= token
             && worker
                 .heard
                 .is_some_and(|h| h.elapsed() <= node.times.silent)
@@ -428,8 +458,9 @@
             true => row.machine.address.to_string(),
             false => worker.address.clone(),
         };
-        if worker.overdue(&node.times) {
-            // Not heard of: it may report to an earlier holder, or be cut off.
+        if worker.overdue(&node.times) || worker.unheeded() {
+            // Not heard of: it may report to an earlier holder, or be cut off. Or it is
+            // heard, and does not hear us.
             let pause = match worker.heard {
                 None => report / 2,
                 Some(_) => report,
@@ -442,7 +473,7 @@
                 continue;
             }
             worker.probed_at = Some(Instant::now());
-            worker.inflight = true;
+            (worker.inflight, worker.probing) = (true, true);
             let block = row.machine.block.clone();
             tokio::spawn(probe(node.clone(), name.clone(), address, block));
             continue;
@@ -459,7 +490,7 @@
         }
         if urgent && due && worker.session > 0 {
             worker.sent_at = Some(Instant::now());
-            worker.inflight = true;
+            (worker.inflight, worker.probing) = (true, false);
             let commands = DirectCommands {
                 token,
                 session: worker.session,
@@ -493,7 +524,8 @@
         Err(Error::Unknown(error)) => {
             tracing::debug!(machine = &*name, error, "direct commands unanswered");
             let starts = |c: &Command| matches!(c, Command::Run { .. });
-            if commands.commands.iter().any(starts) {
+            let there = worker.session <= commands.session && worker.token <= commands.token;
+            if there && commands.commands.iter().any(starts) {
                 worker.tainted = Some((commands.token, commands.session));
             }
         }
--- a/crates/rushwalk/src/leader.rs
+++ b/crates/rushwalk/src/leader.rs
@@ -275,11 +275,19 @@
             // A holder that hears nothing of most of its machines is cut off from
             // them. Only once while their leases last: if the next one hears
             // nothing either, the machines are cut off, and each new holder would
-            // have to wait anew for their leases to run out.
-            let moved = lately(memory.moved.get(block), node.times.lease + node.times.loan);
-            // That they turn up at somebody else shows that they can be reached.
-            let again = lately(memory.strayed.get(block), node.times.member);
+            // have to wait anew for their leases to run out, which takes so long.
+            let settle = node.times.lease + node.times.loan + node.times.silent;
+            let strayed_at = memory.strayed.get(block);
+            let moved = lately(memory.moved.get(block), settle) || lately(strayed_at, settle);
+            // That they turn up at somebody else shows that they can be reached; but not
+            // if they turn up at everybody in turn. Those hear nobody, and with a block
+            // that went round their tasks were not known to be gone for as long as that
+            // lasted.
             let (up, silent) = view.pulse(block);
+            let again = match silent > 0 {
+                true => lately(strayed_at, settle),
+                false => lately(strayed_at, node.times.member),
+            };
             let at = valid
                 .filter(|_| !again)
                 .map(|g| reach.elsewhere(block, &g.holder, up.saturating_sub(silent)));
--- a/crates/rushwalk/src/reports.rs
+++ b/crates/rushwalk/src/reports.rs
@@ -51,21 +51,46 @@
     /// this session, it may still be carried out. Until either is past, an
     /// absent task proves nothing, and nothing may be forgotten.
     pub tainted: Option<(u64, u64)>,
+    /// A call to its own address is under way.
     pub inflight: bool,
+    /// It only asks, and starts nothing.
+    pub probing: bool,
+    /// Attempts whose end was put forward. Should that commit go unanswered it may
+    /// still come late, so they are never started again: a task that was started anew
+    /// while its end was on the way ran twice.
+    pub ended: BTreeSet<(Name, u32, u64)>,
     /// Its silence was told of: once is enough while that can't be committed.
     pub told: bool,
     /// Report whose answer carried starts; a report that was already under
     /// way elsewhere does not show their effect.
     answered: Option<u64>,
     /// When we last answered a report of it, which renews its lease from the
-    /// time at which the report was sent.
+    /// time at which the report was sent. Not an answer that the next report
+    /// shows to have been lost.
     renewed: Option<Instant>,
+    /// The latest answer, of which it is not known whether it came through.
+    given: Option<Given>,
+    /// Since when nothing that we say comes through, though it is heard.
+    unheeded: Option<Instant>,
+    /// The last answer held starts back, to see what is on the machine without them.
+    held_back: bool,
+    /// The token under which its lease ran out though its reports kept coming.
+    lapsed: Option<u64>,
     /// The token under which it is looked after, and since when.
     pub since: Option<(u64, Instant)>,
     pub sent_at: Option<Instant>,
     pub probed_at: Option<Instant>,
 }
 
+/// An answer to a report.
+struct Given {
+    token: u64,
+    at: Instant,
+    /// The session that was answered, and the first start in the answer.
+    session: u64,
+    start: Option<(String, u64)>,
+}
+
 impl Heard {
     /// Takes in a report; older ones than the newest are ignored.
     pub fn take(&mut self, report: &Report, beat: bool) {
@@ -73,6 +98,11 @@
         if !newer {
             return;
         }
+        match beat {
+            true => self.heeded(report),
+            // It came by its own address.
+            false => self.unheeded = None,
+        }
         if beat && (report.session > self.session || self.answered.is_some_and(|a| report.seq > a))
         {
             self.answered = None;
@@ -80,6 +110,9 @@
         self.session = report.session;
         self.seq = report.seq;
         self.token = self.token.max(report.token);
+        if self.lapsed.is_some_and(|token| self.token >= token) {
+            self.lapsed = None;
+        }
         if let Some((token, session)) = self.tainted
             && (self.token > token || self.session > session)
         {
@@ -105,6 +138,66 @@
         }
     }
 
+    /// What a report tells of the answer to the one before it: a worker has one report
+    /// under way at a time, and shows the token of an answer that it took in the next.
+    fn heeded(&mut self, report: &Report) {
+        let Some(given) = self.given.take() else {
+            return;
+        };
+        let started = given.start.as_ref().map(|(piece, attempt)| {
+            let there = |t: &TaskReport| t.task == *piece && t.attempt == *attempt;
+            report.tasks.iter().any(there)
+        });
+        if report.token < given.token {
+            self.unheeded.get_or_insert(given.at);
+            return;
+        }
+        self.renewed = self.renewed.max(Some(given.at));
+        if started == Some(true) || self.token < given.token {
+            self.unheeded = None;
+        } else if started == Some(false) && report.session == given.session {
+            self.unheeded.get_or_insert(given.at);
+        }
+    }
+
+    /// Whether nothing that we say has come through for as long as makes a machine
+    /// that is not heard silent.
+    pub fn deaf(&self, times: &Times) -> bool {
+        self.unheeded
+            .is_some_and(|since| since.elapsed() > times.silent)
+    }
+
+    /// Whether something said lately was lost: its own address is tried.
+    pub fn unheeded(&self) -> bool {
+        self.unheeded.is_some()
+    }
+
+    /// Whether commands to its own address are under way, starts maybe among them.
+    fn commanded(&self) -> bool {
+        self.inflight && !self.probing
+    }
+
+    /// Called with a new report in hand that is not answered as yet. Had the worker
+    /// taken any answer of ours its reports would show the token. So nobody has renewed
+    /// its lease since those before us could: by now it has run out, and the session with
+    /// it that they can have sent anything to. What is running there now was started by
+    /// nobody before us, and by us only if a call to its own address is in doubt.
+    fn lapse(&mut self, token: u64, times: &Times) {
+        let Some((_, since)) = self.since.filter(|(under, _)| *under == token) else {
+            return;
+        };
+        let last = (since + times.loan).max(self.renewed.unwrap_or(since));
+        let over = last.elapsed() > times.lease.mul_f64(1.002) + times.round / 2;
+        if over && self.token < token && !self.commanded() && self.tainted.is_none() {
+            self.lapsed = Some(token);
+        }
+    }
+
+    /// Whether all that was there before this token is gone, though it is still heard.
+    pub fn lapsed(&self, token: u64) -> bool {
+        self.lapsed == Some(token)
+    }
+
     /// Whether its worker's lease has surely run out, and all tasks with it.
     /// Nobody can have renewed it later than we did, but an earlier holder that
     /// does not know of us, for as long as a block is lent. All clocks may drift.
@@ -122,6 +215,7 @@
             return false;
         }
         let last = (since + times.loan).max(self.renewed.unwrap_or(since));
+        let last = last.max(self.given.as_ref().map_or(since, |given| given.at));
         let last = last.max(self.heard.unwrap_or(since));
         last.elapsed() > times.lease.mul_f64(1.002) + times.round / 2
     }
@@ -142,7 +236,7 @@
     pub fn proves_absence(&self, token: u64) -> bool {
         self.heard.is_some()
             && self.token == token
-            && !self.inflight
+            && !self.commanded()
             && self.answered.is_none()
             && self.tainted.is_none()
     }
@@ -165,6 +259,8 @@
             // A task that ran and is gone was lost; it is not started again
             // under the same attempt.
             None if stop || t.task.ran.is_some() => {}
+            None if worker.lapsed(token) => {}
+            None if worker.ended.contains(&(uid.clone(), *index, attempt)) => {}
             None => out.push(Command::Run {
                 piece: task_name(uid, *index),
                 attempt,
@@ -256,14 +352,33 @@
     worker.take(report, true);
     // A late report is no base for commands, but it may be answered.
     let current = (report.session, report.seq) == (worker.session, worker.seq);
-    let commands = match current && !worker.inflight {
+    if current {
+        worker.lapse(token, &node.times);
+    }
+    let mut commands = match current && !worker.inflight {
         true => commands(&view, worker, &report.machine, token),
         false => Vec::new(),
     };
-    if commands.iter().any(|c| matches!(c, Command::Run { .. })) {
+    let start = |c: &Command| match c {
+        Command::Run { piece, attempt } => Some((piece.clone(), *attempt)),
+        _ => None,
+    };
+    // Starts in an answer that may yet arrive keep an absence from being proved: while
+    // they don't come through, every other answer has none.
+    worker.held_back = worker.unheeded() && !worker.held_back;
+    if worker.held_back {
+        commands.retain(|c| start(c).is_none());
+    }
+    let start = commands.iter().find_map(start);
+    if start.is_some() {
         worker.answered = Some(report.seq);
     }
-    worker.renewed = Some(Instant::now());
+    worker.given = Some(Given {
+        token,
+        at: Instant::now(),
+        session: worker.session,
+        start,
+    });
     Reply::Here(Answer { token, commands })
 }
 
@@ -290,7 +405,12 @@
         tokio::time::advance(loan).await;
         assert!(worker.lease_over(7, &times));
         assert!(!worker.lease_over(8, &times), "lent to others in between");
-        worker.renewed = Some(Instant::now());
+        worker.given = Some(Given {
+            token: 7,
+            at: Instant::now(),
+            session: 1,
+            start: None,
+        });
         tokio::time::advance(lease).await;
         assert!(!worker.lease_over(7, &times), "clocks drift");
         tokio::time::advance(Duration::from_secs(1)).await;
