A controller cut from the state service and all others sends its users away

Cause: in an outage all stay healthy, since none is better. One that was cut from the state service and from the others too took that for an outage: its users kept to it and were told 503 for as long as the cut lasted, while the others were served.

Change: it is healthy without the state service only if it lately heard another controller.

Ruled out: waiting for the end of the loan first, which leaves a third of the users without an answer for 20 s. What it costs: in an outage in which no controller hears another all are unhealthy, and take a few seconds to be asked again after it.

--- a/crates/rushwalk/src/mesh.rs
+++ b/crates/rushwalk/src/mesh.rs
@@ -194,9 +194,15 @@
     }
     // In an outage all ages grow alike, and a peer's is known as of its last
     // message: only one that is well below the limit by now is better off.
+    // One that hears no other either has nothing to compare with and is rather the one
+    // that is cut off: users who kept to it got no answer for as long as that lasted.
     let detector = lock(&node.detector);
+    let limit = limit.as_secs_f64();
     let age = |(at, hello): (f64, &Hello)| at + hello.state_age_ms as f64 / 1000.0;
-    !detector
-        .hellos(node.uptime())
-        .any(|told| age(told) < limit.as_secs_f64() / 2.0)
+    let told = |most: f64, of: fn(f64, f64) -> f64| {
+        let mut hellos = detector.hellos(node.uptime());
+        hellos.any(|told| of(told.0, age(told)) < most)
+    };
+    let heard = told(limit, |at, _| at) || node.settings.peers.is_empty();
+    heard && !told(limit / 2.0, |_, age| age)
 }
