A slow state service slows answers to polls and loses fewer

Cause: a poll waited 0.6 s for a read begun after it, and reads went one after the other. With answers that take half a second or more a read came too late, and users were told 503.

Change: a controller that is not cut off goes on waiting as long as the user does, beside asking its peers; reads that take long overlap, four at most.

--- a/crates/rushwalk/src/api.rs
+++ b/crates/rushwalk/src/api.rs
@@ -10,7 +10,7 @@
 use rushwalk_clients::state::Outcome;
 use rushwalk_plan::quota::can_ever_run;
 use rushwalk_wire::MAX_BODY;
-use rushwalk_wire::jobs::{JobSpec, Refusal, Stance, is_job_id};
+use rushwalk_wire::jobs::{JobSpec, JobState, Refusal, Stance, is_job_id};
 use rushwalk_wire::mesh::Change;
 use rushwalk_wire::records::Op;
 use rushwalk_wire::worker::{Elsewhere, Report};
@@ -238,18 +238,36 @@
     if let Some(state) = known {
         return json(StatusCode::OK, &state);
     }
-    // Known to be cut off: a peer's fresh read is as good, and comes sooner.
-    let patience = match node.state_age() < node.times.round * 4 {
-        true => node.times.round * 2 / 3,
-        false => node.times.round / 10,
+    // Known to be cut off: a peer's fresh read is as good, and comes sooner. Only slow:
+    // it may come sooner, and it is waited for as long as the user waits.
+    let (patience, most) = match cut_off(node) {
+        false => (node.times.round * 2 / 3, PATIENCE),
+        true => (node.times.round / 10, node.times.round / 10),
     };
-    let state = match node.fresh(patience).await {
-        true => node.view().state_of(uid),
-        false => match mesh::ask_peers(node, uid).await {
-            Some(answer) => answer.state,
-            None => return unserved(node, "the state service does not answer"),
+    let mut fresh = std::pin::pin!(node.fresh(most));
+    let read = match timeout(patience, &mut fresh).await {
+        Ok(read) => read,
+        Err(_) => tokio::select! {
+            read = &mut fresh => read,
+            answer = mesh::ask_peers(node, uid) => match answer {
+                Some(answer) => return told(node, answer.state),
+                None => fresh.await,
+            },
         },
     };
+    if read {
+        let state = node.view().state_of(uid);
+        return told(node, state);
+    }
+    if cut_off(node)
+        && let Some(answer) = mesh::ask_peers(node, uid).await
+    {
+        return told(node, answer.state);
+    }
+    unserved(node, "the state service does not answer")
+}
+
+fn told(node: &Node, state: Option<JobState>) -> Response {
     let mut turn = node.meter.turn(Work::User);
     turn.looked_at(1);
     match state {
--- a/crates/rushwalk/src/sync.rs
+++ b/crates/rushwalk/src/sync.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::sync::Semaphore;
 use tokio::time::{Instant, sleep};
 
 /// Reads everything; used at the start and when a watch is too old.
@@ -116,29 +117,47 @@
     // The readers of all nodes together take at most a third of the budget.
     let nodes = 1.0 + node.settings.peers.len() as f64;
     let gap = Duration::from_secs_f64(3.0 * nodes / node.settings.site.state.rps);
+    let reads = Arc::new(Semaphore::new(READS));
     loop {
         node.fresh_wanted.notified().await;
         if node.synced.borrow().is_none() {
             sleep(gap).await;
             continue;
         }
-        let since = node.view().revision;
-        let sent = Instant::now();
-        let call = node
-            .state
-            .changes(ROOT, since, Duration::ZERO, node.times.round * 2);
-        match call.await {
-            Ok(answer) => take(&node, sent, answer),
-            Err(error) => {
-                tracing::debug!(%error, "fresh read failed");
-                sleep(gap * 4).await;
-                node.fresh_wanted.notify_one();
-            }
-        }
+        let Ok(permit) = reads.clone().acquire_owned().await else {
+            return;
+        };
+        let reader = node.clone();
+        let mut read = tokio::spawn(async move {
+            fresh_read(&reader, gap).await;
+            drop(permit);
+        });
+        // Behind a read that takes long nobody has to wait for its end and then as long
+        // again: others begin meanwhile.
+        let _ = tokio::time::timeout(node.times.round / 8, &mut read).await;
         sleep(gap).await;
     }
 }
 
+/// Fresh reads under way at once, if they take long.
+const READS: usize = 4;
+
+async fn fresh_read(node: &Node, gap: Duration) {
+    let since = node.view().revision;
+    let sent = Instant::now();
+    let call = node
+        .state
+        .changes(ROOT, since, Duration::ZERO, node.times.round * 2);
+    match call.await {
+        Ok(answer) => take(node, sent, answer),
+        Err(error) => {
+            tracing::debug!(%error, "fresh read failed");
+            sleep(gap * 4).await;
+            node.fresh_wanted.notify_one();
+        }
+    }
+}
+
 /// Keeps the member lease and key.
 pub async fn member_loop(node: Arc<Node>) {
     let every = node.times.member / 5;
