--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! of the network. For tests, measurements, and to see the service survive something
 //! without any platform.
 
+pub mod meetings;
 pub mod model;
 pub mod plot;
 pub mod site;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,9 +1,10 @@
 //! `rushwalk-lab`: fail controllers on virtual time, and see what it costs.
 
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 use hdrhistogram::Histogram;
 use indicatif::{ProgressBar, ProgressStyle};
 use rushwalk_detect::Limits;
+use rushwalk_lab::meetings::{self, Day, Found, Trouble};
 use rushwalk_lab::model::{self, End, Hours, Network};
 use rushwalk_lab::plot;
 use rushwalk_lab::trial::{self, Failure, Figures};
@@ -25,6 +26,8 @@
 enum What {
     /// Whole controllers with machines and jobs.
     Trial(Trial),
+    /// Days on which drawn troubles meet, to find broken rules.
+    Meet(Meet),
     /// The failure detector alone: rate of false verdicts beside the time to a verdict.
     Detector(Sweep),
 }
@@ -57,6 +60,28 @@
     plot: Option<PathBuf>,
 }
 
+#[derive(Args, Clone)]
+struct Meet {
+    /// Troubles a day.
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(1..=8))]
+    troubles: u16,
+    /// Draw only these; may be given several times.
+    #[arg(long, value_enum)]
+    only: Vec<Trouble>,
+    /// Days, each with a seed of its own.
+    #[arg(long, default_value_t = 64, value_parser = clap::value_parser!(u32).range(1..=100_000))]
+    days: u32,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Print what came of each day as JSON, a line a day.
+    #[arg(long)]
+    json: bool,
+    /// Print the controllers' own log to standard error, one day at a time.
+    #[arg(long)]
+    log: bool,
+}
+
 #[derive(Args, Clone)]
 struct Sweep {
     #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(2..=16))]
@@ -92,6 +117,7 @@
     let done = match Cli::parse().what {
         None => trials(&Trial::parse_from_defaults()),
         Some(What::Trial(trial)) => trials(&trial),
+        Some(What::Meet(meet)) => search(&meet),
         Some(What::Detector(sweep)) => detector(&sweep),
     };
     match done {
@@ -148,18 +174,75 @@
     out.into_iter().map(|(_, done)| done).collect()
 }
 
+/// A runtime of its own, whose time is paused.
+fn paused<T>(what: impl Future<Output = T>) -> Result<T, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .map_err(|e| e.to_string())?;
+    Ok(runtime.block_on(what))
+}
+
+fn log() {
+    tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .without_time()
+        .init();
+}
+
+/// Plays days of drawn troubles; one that breaks a rule is made smaller.
+fn search(meet: &Meet) -> Result<bool, String> {
+    let all = match meet.only.is_empty() {
+        true => Trouble::value_variants(),
+        false => &meet.only,
+    };
+    if meet.log {
+        log();
+    }
+    let draw = |n| Day::draw(meet.seed + n, usize::from(meet.troubles), all);
+    let days: Vec<Day> = (0..u64::from(meet.days)).map(draw).collect();
+    let threads = if meet.log { 1 } else { usize::MAX };
+    let found = spread(threads, &days, |day| paused(meetings::play(day)));
+    let found: Vec<Found> = found.into_iter().collect::<Result<_, _>>()?;
+    let text = |value: &Found| serde_json::to_string(value).map_err(|e| e.to_string());
+    if meet.json {
+        for one in &found {
+            println!("{}", text(one)?);
+        }
+    }
+    let mut broken = 0;
+    for one in found.iter().filter(|f| !f.broken.is_empty()) {
+        broken += 1;
+        let mut least = one.clone();
+        while let Some(smaller) = (0..least.day.events.len())
+            .filter(|_| least.day.events.len() > 1)
+            .map(|i| paused(meetings::play(&least.day.without(i))))
+            .find(|f| f.as_ref().is_ok_and(|f| !f.broken.is_empty()))
+        {
+            least = smaller?;
+        }
+        println!("seed {}: {}", one.day.seed, text(&least)?);
+    }
+    let most = |value: fn(&Found) -> f64| found.iter().map(value).fold(0.0, f64::max);
+    println!(
+        "{} days from seed {}, {} with a broken rule; a cancelled job's last task was gone after {:.1} s at most",
+        found.len(),
+        meet.seed,
+        broken,
+        most(|f| f.cancelled_s)
+    );
+    Ok(broken == 0)
+}
+
 fn play(
     failure: Failure,
     controllers: usize,
     seed: u64,
     restart_s: f64,
 ) -> Result<Figures, String> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .start_paused(true)
-        .build()
-        .map_err(|e| e.to_string())?;
-    Ok(runtime.block_on(trial::play(failure, controllers, seed, restart_s)))
+    paused(trial::play(failure, controllers, seed, restart_s))
 }
 
 /// Median, 95% and most of some seconds.
@@ -187,11 +270,7 @@
         .flat_map(|kind| (0..u64::from(trial.runs)).map(move |n| (*kind, trial.seed + n)))
         .collect();
     if trial.log {
-        tracing_subscriber::fmt()
-            .with_writer(std::io::stderr)
-            .with_ansi(false)
-            .without_time()
-            .init();
+        log();
     }
     let threads = if trial.log { 1 } else { usize::MAX };
     let one = |((failure, restart_s), seed): &((Failure, f64), u64)| {
@@ -245,7 +324,6 @@
 }
 
 fn name(failure: Failure) -> String {
-    use clap::ValueEnum;
     let value = failure.to_possible_value();
     value.map_or(String::new(), |v| v.get_name().to_string())
 }
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -187,6 +187,7 @@
         let answer = self.ask("POST", "/api/jobs", body.as_bytes()).await;
         let (status, _) = answer.unwrap();
         assert!(matches!(status, 200 | 201), "{uid}: {status}");
+        self.world.rules().submitted(&uid, status);
         uid
     }
 
@@ -195,17 +196,20 @@
         let (status, body) = self.ask("GET", &path, b"").await.unwrap();
         assert_eq!(status, 200, "an accepted job was forgotten: {uid}");
         let state: JobState = serde_json::from_slice(&body).unwrap();
-        if state.state == Stance::Done {
-            self.world.rules().told_done(uid);
-        }
+        let stance = Some(state.state);
+        self.world.rules().asked(uid, Some(status), stance);
         state
     }
 
     pub async fn cancel(&self, uid: &str) {
         let path = format!("/api/jobs/{uid}/abort");
-        let (status, _) = self.ask("POST", &path, b"").await.unwrap();
+        self.world.rules().asks_to_cancel(uid);
+        let (status, body) = self.ask("POST", &path, b"").await.unwrap();
         assert_eq!(status, 200);
-        self.world.rules().told_cancelled(uid);
+        let state: JobState = serde_json::from_slice(&body).unwrap();
+        self.world
+            .rules()
+            .asked(uid, Some(status), Some(state.state));
     }
 
     pub async fn all_done(&self, uids: &[String], within: u64) {
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -1,7 +1,7 @@
 //! The protocol's rules, checked as tasks start and users are answered.
 
-use rushwalk_wire::jobs::{JobSpec, Shape};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use rushwalk_wire::jobs::{JobSpec, Shape, Stance};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -13,6 +13,8 @@
     pub cancel: Duration,
     /// Where each task is.
     on: BTreeMap<(String, u32), Vec<String>>,
+    /// The zone where each task last started.
+    zones: HashMap<(String, u32), String>,
     done: BTreeMap<(String, u32), bool>,
     cancelled: HashMap<String, Instant>,
     pub broken: Vec<String>,
@@ -22,8 +24,32 @@
     pub faulty: HashSet<String>,
     /// Starts that failed for either.
     pub failed: usize,
+    /// Run times of tasks that take another time than their job's estimate.
+    pub takes_s: HashMap<(String, u32), f64>,
+    /// How often tasks of each job were started.
+    pub starts_of: HashMap<String, usize>,
+    /// Starts of tasks that were done already.
+    pub after_done: usize,
+    /// Jobs whose users were told that they are accepted, or asked to cancel them.
+    accepted: HashSet<String>,
+    asked_to_cancel: HashSet<String>,
+    /// Final states that users were told.
+    final_states: HashMap<String, Stance>,
+    /// Since when no question about a job was answered.
+    unanswered: HashMap<String, Instant>,
+    /// The latest questions of all, and whether they were answered.
+    questions: VecDeque<(Instant, bool)>,
+    /// When the last trouble was over.
+    pub calm_since: Option<Instant>,
+    /// The longest from a confirmed cancellation to the end of the last task.
+    pub cancelled_for: Duration,
 }
 
+/// For so long every question about a job may fail while most others are answered, and
+/// for so long however others fare, once all troubles are over.
+const FORGOTTEN: Duration = Duration::from_secs(90);
+const FORGOTTEN_CALM: Duration = Duration::from_secs(75);
+
 impl Rules {
     /// Whether a task fails as it starts.
     pub fn fails(&mut self, uid: &str, machine: &str) -> bool {
@@ -32,9 +58,113 @@
         fails
     }
 
-    pub fn starts(&mut self, uid: &str, index: u32, machine: &str) {
+    /// What a user was answered who submitted a job, or submitted it again.
+    pub fn submitted(&mut self, uid: &str, status: u16) {
+        match status {
+            200 | 201 => {
+                self.accepted.insert(uid.into());
+            }
+            400 | 422 if self.accepted.contains(uid) => {
+                self.broken
+                    .push(format!("forgotten: {uid} answered {status}"));
+            }
+            _ => {}
+        }
+    }
+
+    /// What a user was answered who asked about a job; `None` if nothing.
+    pub fn asked(&mut self, uid: &str, status: Option<u16>, stance: Option<Stance>) {
+        let answered = matches!(status, Some(200 | 404));
+        self.questions.push_back((Instant::now(), answered));
+        while self
+            .questions
+            .front()
+            .is_some_and(|q| q.0.elapsed() > FORGOTTEN)
+        {
+            self.questions.pop_front();
+        }
+        match (status, stance) {
+            (Some(200), Some(stance)) => {
+                self.unanswered.remove(uid);
+                self.told(uid, stance);
+            }
+            (Some(404), _) => {
+                self.unanswered.remove(uid);
+                if self.accepted.contains(uid) {
+                    self.broken.push(format!("forgotten: {uid} answered 404"));
+                }
+            }
+            _ => {
+                let since = self.unanswered.entry(uid.into());
+                let since = since.or_insert_with(Instant::now);
+                let calm = self.calm_since.map(|at| at.max(*since));
+                let told = self.questions.iter().filter(|q| q.1).count();
+                let most = 2 * told > self.questions.len();
+                if most && since.elapsed() > FORGOTTEN
+                    || calm.is_some_and(|at| at.elapsed() > FORGOTTEN_CALM)
+                {
+                    self.broken.push(format!("forgotten: {uid}"));
+                }
+            }
+        }
+    }
+
+    fn told(&mut self, uid: &str, stance: Stance) {
+        if !self.jobs.contains_key(uid) {
+            self.broken.push(format!("invented: {uid}"));
+        }
+        if stance == Stance::Cancelled && !self.asked_to_cancel.contains(uid) {
+            self.broken.push(format!("went_back: {uid} not cancelled"));
+        }
+        if let Some(before) = self.final_states.get(uid)
+            && *before != stance
+        {
+            let line = format!("went_back: {uid} {stance:?} after {before:?}");
+            self.broken.push(line);
+        }
+        if matches!(stance, Stance::Done | Stance::Cancelled) {
+            self.final_states.insert(uid.into(), stance);
+        }
+        match stance {
+            Stance::Done => self.told_done(uid),
+            Stance::Cancelled => self.told_cancelled(uid),
+            _ => {}
+        }
+    }
+
+    /// A user is about to ask for a cancellation.
+    pub fn asks_to_cancel(&mut self, uid: &str) {
+        self.asked_to_cancel.insert(uid.into());
+    }
+
+    /// Whether a zone is not one that the job's other tasks leave to this one.
+    fn misplaced(&self, uid: &str, index: u32, zone: &str) -> bool {
+        let Some(spec) = self.jobs.get(uid) else {
+            return false;
+        };
+        let others = self
+            .on
+            .iter()
+            .filter(|((u, i), places)| u == uid && *i != index && !places.is_empty());
+        let zones: Vec<&String> = others
+            .filter_map(|(name, _)| self.zones.get(name))
+            .collect();
+        let same = zones.iter().filter(|z| *z == &zone).count();
+        spec.zone.as_ref().is_some_and(|z| z != zone)
+            || spec.one_zone && same < zones.len()
+            || spec.spread && same + 1 > (spec.tasks as usize).div_ceil(2)
+    }
+
+    pub fn starts(&mut self, uid: &str, index: u32, machine: &str, zone: &str) {
         self.started += 1;
+        *self.starts_of.entry(uid.into()).or_default() += 1;
         let name = (uid.to_string(), index);
+        self.after_done += usize::from(self.done.contains_key(&name));
+        if self.misplaced(uid, index, zone) {
+            self.broken
+                .push(format!("wrong_place: {uid}/{index} in {zone}"));
+        }
+        self.zones.insert(name.clone(), zone.into());
         let places = self.on.entry(name).or_default();
         if places.iter().any(|m| m != machine) {
             let line = format!("ran_twice: {uid}/{index} on {machine} and {places:?}");
@@ -61,8 +191,13 @@
 
     pub fn gone(&mut self, uid: &str, index: u32, machine: &str, done: bool) {
         let name = (uid.to_string(), index);
-        if let Some(places) = self.on.get_mut(&name) {
-            places.retain(|m| m != machine);
+        let Some(places) = self.on.get_mut(&name) else {
+            return;
+        };
+        let before = places.len();
+        places.retain(|m| m != machine);
+        if let Some(at) = self.cancelled.get(uid).filter(|_| places.len() < before) {
+            self.cancelled_for = self.cancelled_for.max(at.elapsed());
         }
         if done {
             // A gang's tasks complete together: when one is done, all are.
@@ -104,6 +239,15 @@
         }
     }
 
+    /// Numbers of the machines that a job's tasks are on.
+    pub fn machines(&self, uid: &str) -> Vec<usize> {
+        let of = self.on.iter().filter(|((u, _), _)| u == uid);
+        let names = of.flat_map(|(_, places)| places);
+        names
+            .filter_map(|m| m.strip_prefix("i-")?.parse().ok())
+            .collect()
+    }
+
     pub fn running(&self) -> usize {
         self.on.values().filter(|places| !places.is_empty()).count()
     }
@@ -128,20 +272,105 @@
         rules
     }
 
+    /// Rules broken so far, by their names.
+    fn names(rules: &Rules) -> Vec<String> {
+        let name = |line: &String| line.split(':').next().unwrap_or("").to_string();
+        rules.broken.iter().map(name).collect()
+    }
+
     #[tokio::test(start_paused = true)]
     async fn the_checker_sees_each_rule_broken() {
         let mut rules = rules();
-        rules.starts("j-1", 0, "m-1");
+        rules.submitted("j-1", 201);
+        rules.asked("j-1", Some(200), Some(Stance::Queued));
+        rules.starts("j-1", 0, "m-1", "east");
+        assert!(rules.broken.is_empty());
+        rules.starts("j-1", 0, "m-2", "east");
+        rules.starts("j-1", 1, "m-3", "east");
+        assert_eq!(names(&rules), ["ran_twice", "quota"]);
+        rules.asked("j-1", Some(200), Some(Stance::Done));
+        rules.asked("j-1", Some(200), Some(Stance::Running));
+        rules.asked("j-2", Some(200), Some(Stance::Queued));
+        rules.asked("j-1", Some(404), None);
+        rules.submitted("j-1", 422);
+        assert_eq!(
+            names(&rules)[2..],
+            [
+                "not_done",
+                "went_back",
+                "invented",
+                "forgotten",
+                "forgotten"
+            ]
+        );
+        rules.broken.clear();
+        rules.asked("j-1", Some(200), Some(Stance::Cancelled));
+        assert_eq!(
+            names(&rules),
+            ["went_back", "went_back"],
+            "nobody asked, and it was done"
+        );
+        rules.broken.clear();
+        tokio::time::advance(Duration::from_secs(59)).await;
+        rules.sweep();
         assert!(rules.broken.is_empty());
-        rules.starts("j-1", 0, "m-2");
-        assert!(rules.broken[0].starts_with("ran_twice"));
-        rules.starts("j-1", 1, "m-3");
-        assert!(rules.broken[1].starts_with("quota"));
-        rules.told_done("j-1");
-        assert!(rules.broken[2].starts_with("not_done"));
-        rules.told_cancelled("j-1");
-        tokio::time::advance(Duration::from_secs(61)).await;
+        tokio::time::advance(Duration::from_secs(2)).await;
         rules.sweep();
-        assert!(rules.broken[3].starts_with("ran_cancelled"));
+        assert_eq!(names(&rules)[0], "ran_cancelled");
+        rules.gone("j-1", 0, "m-1", false);
+        assert_eq!(rules.cancelled_for.as_secs(), 61);
+        rules.broken.clear();
+        for wait in [0, 80, 11] {
+            tokio::time::advance(Duration::from_secs(wait)).await;
+            rules.asked("j-1", Some(503), None);
+        }
+        assert!(rules.broken.is_empty(), "nobody was answered");
+        for _ in 0..5 {
+            rules.asked("j-9", Some(404), None);
+        }
+        rules.asked("j-1", None, None);
+        assert_eq!(names(&rules), ["forgotten"], "others were");
+        rules.broken.clear();
+        rules.calm_since = Some(Instant::now());
+        for wait in [74, 2] {
+            assert!(rules.broken.is_empty());
+            tokio::time::advance(Duration::from_secs(wait)).await;
+            rules.questions.clear();
+            rules.asked("j-1", Some(503), None);
+        }
+        assert_eq!(names(&rules), ["forgotten"], "however others fare");
+    }
+
+    #[test]
+    fn the_checker_sees_tasks_in_zones_that_their_job_does_not_allow() {
+        let mut rules = rules();
+        let mut with = |change: fn(&mut JobSpec)| {
+            rules.jobs.entry("j-1".into()).and_modify(|spec| {
+                (spec.zone, spec.one_zone, spec.spread) = (None, false, false);
+                change(spec);
+            });
+            rules.broken.clear();
+            rules.on.clear();
+            rules.starts("j-1", 0, "m-1", "east");
+            rules.starts("j-1", 1, "m-2", "west");
+            let apart = rules
+                .broken
+                .iter()
+                .filter(|l| l.starts_with("wrong"))
+                .count();
+            rules.on.clear();
+            rules.starts("j-1", 0, "m-1", "east");
+            rules.starts("j-1", 1, "m-2", "east");
+            let all = rules
+                .broken
+                .iter()
+                .filter(|l| l.starts_with("wrong"))
+                .count();
+            (apart, all - apart)
+        };
+        assert_eq!(with(|_| ()), (0, 0));
+        assert_eq!(with(|s| s.zone = Some("east".into())), (1, 0));
+        assert_eq!(with(|s| s.one_zone = true), (1, 0));
+        assert_eq!(with(|s| s.spread = true), (0, 1));
     }
 }
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -1,6 +1,6 @@
 //! A worker: reports, obeys whoever has the highest token, keeps its lease.
 
-use crate::world::World;
+use crate::world::{Fault, World};
 use rushwalk_wire::jobs::parse_task;
 use rushwalk_wire::worker::{
     Answer, Command, DirectCommands, Elsewhere, ExitCause, Report, TaskReport, TaskState,
@@ -59,13 +59,15 @@
                     };
                     let mut rules = world.rules();
                     let runs = rules.jobs.get(uid).map_or(0.0, |s| s.estimate_s);
+                    let other = rules.takes_s.get(&(uid.to_string(), index)).copied();
+                    let runs = other.unwrap_or(runs);
                     let service = rules
                         .jobs
                         .get(uid)
                         .is_some_and(|s| s.shape == rushwalk_wire::jobs::Shape::Service);
                     let fails = !busy && rules.fails(uid, &self.name);
                     if !busy && !fails {
-                        rules.starts(uid, index, &self.name);
+                        rules.starts(uid, index, &self.name, &self.zone);
                     }
                     let (state, cause) = match (busy, fails) {
                         (true, _) => (TaskState::Exited, Some(ExitCause::Busy)),
@@ -114,8 +116,18 @@
         }
     }
 
+    /// Its lease runs out.
+    pub fn lapse(&mut self, world: &World, lease: Duration) {
+        if self.last.elapsed() > lease {
+            self.kill(world);
+            self.session += 1;
+            self.last = Instant::now();
+        }
+    }
+
     /// Lets time pass: tasks finish, a lease runs out.
     pub fn pass(&mut self, world: &World, lease: Duration) {
+        self.lapse(world, lease);
         let over =
             |t: &&Held| t.report.state == TaskState::Running && t.started.elapsed() >= t.runs;
         let done = self.tasks.iter().filter(over);
@@ -125,11 +137,6 @@
         for (piece, attempt) in done {
             self.exit(world, &piece, attempt, ExitCause::Done);
         }
-        if self.last.elapsed() > lease {
-            self.kill(world);
-            self.session += 1;
-            self.last = Instant::now();
-        }
     }
 
     pub fn kill(&mut self, world: &World) {
@@ -162,6 +169,11 @@
     let mut pause = every;
     loop {
         sleep(std::mem::replace(&mut pause, every)).await;
+        while world.has(Fault::Hung(index)) {
+            sleep(Duration::from_millis(50)).await;
+            // It may go on within its lease only.
+            world.workers()[index].lapse(&world, lease);
+        }
         let (report, sent) = {
             let mut workers = world.workers();
             let worker = &mut workers[index];
@@ -171,7 +183,18 @@
             worker.pass(&world, lease);
             (worker.report(), Instant::now())
         };
-        let answer = world.beat(node, &report).await;
+        // After 4 s it gives up; the report may still arrive, much later.
+        let beat = {
+            let (world, report) = (world.clone(), report.clone());
+            tokio::spawn(async move { world.beat(node, &report).await })
+        };
+        let answer = tokio::time::timeout(Duration::from_secs(4), beat).await;
+        let answer = answer.ok().and_then(Result::ok).flatten();
+        let lost = world.has(Fault::DeafMachine(index));
+        let answer = answer.filter(|_| !lost);
+        if lost {
+            sleep(Duration::from_secs(4).saturating_sub(sent.elapsed())).await;
+        }
         let mut workers = world.workers();
         let worker = &mut workers[index];
         match answer {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -53,6 +53,18 @@
     LostAnswers,
     /// Some commits are carried out seconds after their sender gave up.
     LateCommits,
+    /// A quarter of all commits get no answer and are carried out 2 to 12 s later.
+    LateWrites,
+    /// Of half of the reports a copy arrives again, seconds to over a lease later.
+    LateReports,
+    /// The state service takes most of a second for each answer.
+    SlowState,
+    /// No message passes between this controller and the others.
+    NoPeers(usize),
+    /// Reports of this machine arrive; answers and direct commands are lost.
+    DeafMachine(usize),
+    /// This machine stands still; what is sent to it is carried out when it goes on.
+    Hung(usize),
 }
 
 pub struct World {
@@ -72,6 +84,8 @@
     rentals: Mutex<(usize, usize)>,
     /// When workers were asked for their reports at their own addresses.
     asked_at: Mutex<Vec<Instant>>,
+    /// The next commits that hold such a text get no answer and come so much later.
+    late: Mutex<Vec<(String, Duration)>>,
     lease: Duration,
     report: Duration,
     pub boot: Duration,
@@ -100,6 +114,7 @@
             room: Mutex::default(),
             rentals: Mutex::default(),
             asked_at: Mutex::default(),
+            late: Mutex::default(),
             lease,
             report,
             boot: Duration::from_secs(5),
@@ -128,6 +143,24 @@
         (0..asked.len()).map(within).max().unwrap_or(0)
     }
 
+    /// The next commit that holds such a text gets no answer and is carried out so much
+    /// later, after newer ones.
+    pub fn next_late(&self, text: &str, after: Duration) {
+        lock(&self.late).push((text.into(), after));
+    }
+
+    /// Whether a late commit is still to be met.
+    pub fn none_late(&self) -> bool {
+        lock(&self.late).is_empty()
+    }
+
+    fn late(&self, body: &[u8]) -> Option<Duration> {
+        let mut late = lock(&self.late);
+        let body = String::from_utf8_lossy(body);
+        let i = late.iter().position(|(text, _)| body.contains(text))?;
+        Some(late.remove(i).1)
+    }
+
     /// Whether the state service holds a key.
     pub fn holds(&self, key: &str) -> bool {
         let items = lock(&self.store).list(key, "").items;
@@ -169,7 +202,8 @@
         };
         let [_, _, high, low] = ip.octets();
         let to = usize::from(high) * 250 + usize::from(low) - 1;
-        if self.has(Fault::Frozen(to)) || self.has(Fault::Deaf(from, to)) {
+        let apart = self.has(Fault::NoPeers(from)) || self.has(Fault::NoPeers(to));
+        if self.has(Fault::Frozen(to)) || self.has(Fault::Deaf(from, to)) || apart {
             return None;
         }
         let door = lock(&self.mesh).get(to)?.clone();
@@ -211,6 +245,15 @@
         lock(&self.random).random_range(0..one_in) == 0
     }
 
+    fn between_ms(&self, least: u64, most: u64) -> u64 {
+        lock(&self.random).random_range(least..most)
+    }
+
+    /// Whether the state service answers a controller.
+    fn refuses(&self, node: usize) -> bool {
+        self.has(Fault::Outage) || self.has(Fault::NoState(node))
+    }
+
     /// A user's request to a controller; None if nobody answers.
     pub async fn ask(
         &self,
@@ -235,6 +278,17 @@
             return None;
         }
         let body = serde_json::to_vec(report).ok()?;
+        if self.has(Fault::LateReports) && self.chance(2) {
+            let after = Duration::from_millis(self.between_ms(2_000, 60_000));
+            let door = lock(&self.doors)[node].as_ref().map(|d| d.1.clone());
+            let copy = body.clone();
+            tokio::spawn(async move {
+                sleep(after).await;
+                if let Some(door) = door {
+                    door("POST".into(), "/agent/beat".into(), copy).await;
+                }
+            });
+        }
         let answer = self.ask(node, "POST", "/agent/beat", body).await;
         self.held(node).await;
         answer
@@ -258,7 +312,10 @@
 
     async fn state(&self, node: usize, method: &Method, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
         sleep(Duration::from_millis(5)).await;
-        if self.has(Fault::Outage) || self.has(Fault::NoState(node)) {
+        if self.has(Fault::SlowState) {
+            sleep(Duration::from_millis(self.between_ms(400, 900))).await;
+        }
+        if self.refuses(node) {
             return (503, Vec::new());
         }
         lock(&self.store).expire();
@@ -276,6 +333,10 @@
                 let until =
                     Instant::now() + Duration::from_millis(get("blockMs").parse().unwrap_or(0));
                 loop {
+                    // Open watches stay open.
+                    while self.refuses(node) {
+                        sleep(Duration::from_millis(100)).await;
+                    }
                     lock(&self.store).expire();
                     let changes = lock(&self.store).changes(get("under"), since);
                     if !changes.events.is_empty() || Instant::now() >= until {
@@ -289,13 +350,21 @@
                 let Ok(txn) = serde_json::from_slice::<Transaction>(body) else {
                     return (400, Vec::new());
                 };
-                if self.has(Fault::LateCommits) && self.chance(12) {
-                    // Its sender gives up before this.
-                    sleep(Duration::from_secs(7)).await;
+                let some = self.has(Fault::LateCommits) && self.chance(12)
+                    || self.has(Fault::LateWrites) && self.chance(4);
+                let drawn = Duration::from_millis(self.between_ms(2_000, 12_000));
+                let late = self.late(body).or(some.then_some(drawn));
+                if let Some(after) = late {
+                    sleep(after).await;
+                    // It is late, not refused: an outage only delays it.
+                    while self.has(Fault::Outage) {
+                        sleep(Duration::from_millis(100)).await;
+                    }
+                    lock(&self.store).expire();
                 }
                 let result = lock(&self.store).commit(&txn);
                 self.moved.notify_waiters();
-                if self.has(Fault::LostAnswers) && self.chance(8) {
+                if late.is_some() || self.has(Fault::LostAnswers) && self.chance(8) {
                     sleep(Duration::from_secs(60)).await;
                 }
                 match result {
@@ -410,11 +479,18 @@
         if self.has(Fault::NoWorkers(node)) {
             return None;
         }
+        let address = to.to_string();
+        let index = self.workers().iter().position(|w| w.address == address)?;
+        if self.has(Fault::DeafMachine(index)) {
+            return None;
+        }
+        while self.has(Fault::Hung(index)) {
+            sleep(Duration::from_millis(50)).await;
+        }
         let (status, report) = {
             let mut workers = self.workers();
-            let worker = workers
-                .iter_mut()
-                .find(|w| w.address == to.to_string() && !w.dead)?;
+            let worker = workers.get_mut(index).filter(|w| !w.dead)?;
+            worker.pass(self, self.lease);
             match path {
                 "/status" => (200, worker.report()),
                 _ => worker.orders(self, &serde_json::from_slice::<DirectCommands>(body).ok()?),
