A copy of the newest report proves no lapse, and its answer counts as a renewal

An answer to an older report overwrote what was kept of the newest one's, with the same danger under a token given to oneself.

Change: only a newer report is evidence; an answer to another one counts as a renewal.

Result: a_lease_lapses_only_if_a_newer_report_shows_that_no_answer_came_through, new with this change; its first case is what the code before got wrong (reread, not run against it).

--- a/crates/rushwalk/src/reports.rs
+++ b/crates/rushwalk/src/reports.rs
@@ -92,11 +92,11 @@
 }
 
 impl Heard {
-    /// Takes in a report; older ones than the newest are ignored.
-    pub fn take(&mut self, report: &Report, beat: bool) {
+    /// Takes in a report; older ones than the newest are ignored. Whether it is newer.
+    pub fn take(&mut self, report: &Report, beat: bool) -> bool {
         let newer = (report.session, report.seq) > (self.session, self.seq);
         if !newer {
-            return;
+            return false;
         }
         match beat {
             true => self.heeded(report),
@@ -136,6 +136,7 @@
                 });
             }
         }
+        true
     }
 
     /// What a report tells of the answer to the one before it: a worker has one report
@@ -177,6 +178,32 @@
         self.inflight && !self.probing
     }
 
+    /// Takes in a report that will be answered under this token. A copy of one that was
+    /// answered before tells nothing of that answer, which may have renewed the lease.
+    fn asks(&mut self, report: &Report, token: u64, times: &Times) -> bool {
+        let newer = self.take(report, true);
+        if newer {
+            self.lapse(token, times);
+        }
+        newer
+    }
+
+    /// A report was answered. Of the newest one the next will show whether the answer
+    /// came through; of another it is taken that it did.
+    fn gives(&mut self, newer: bool, token: u64, start: Option<(String, u64)>) {
+        let at = Instant::now();
+        if !newer {
+            self.renewed = Some(at);
+            return;
+        }
+        self.given = Some(Given {
+            token,
+            at,
+            session: self.session,
+            start,
+        });
+    }
+
     /// Called with a new report in hand that is not answered as yet. Had the worker
     /// taken any answer of ours its reports would show the token. So nobody has renewed
     /// its lease since those before us could: by now it has run out, and the session with
@@ -349,12 +376,9 @@
     reports.dirty.insert(name.clone());
     reports.blocks.insert(block.clone(), Instant::now());
     let worker = reports.of(name);
-    worker.take(report, true);
+    let newer = worker.asks(report, token, &node.times);
     // A late report is no base for commands, but it may be answered.
     let current = (report.session, report.seq) == (worker.session, worker.seq);
-    if current {
-        worker.lapse(token, &node.times);
-    }
     let mut commands = match current && !worker.inflight {
         true => commands(&view, worker, &report.machine, token),
         false => Vec::new(),
@@ -373,12 +397,7 @@
     if start.is_some() {
         worker.answered = Some(report.seq);
     }
-    worker.given = Some(Given {
-        token,
-        at: Instant::now(),
-        session: worker.session,
-        start,
-    });
+    worker.gives(newer, token, start);
     Reply::Here(Answer { token, commands })
 }
 
@@ -405,15 +424,64 @@
         tokio::time::advance(loan).await;
         assert!(worker.lease_over(7, &times));
         assert!(!worker.lease_over(8, &times), "lent to others in between");
-        worker.given = Some(Given {
-            token: 7,
-            at: Instant::now(),
-            session: 1,
-            start: None,
-        });
+        worker.gives(true, 7, None);
         tokio::time::advance(lease).await;
         assert!(!worker.lease_over(7, &times), "clocks drift");
         tokio::time::advance(Duration::from_secs(1)).await;
         assert!(worker.lease_over(7, &times));
     }
+
+    fn report(seq: u64, token: u64) -> Report {
+        let text = format!(r#"{{"rig":"i-1","stint":1,"tally":{seq},"baton":{token}}}"#);
+        serde_json::from_str(&text).unwrap()
+    }
+
+    /// A machine that hears nothing has lost its tasks when a loan and a lease are over. But
+    /// its answer may have come through: only the next report tells, not a copy of the last.
+    #[tokio::test(start_paused = true)]
+    async fn a_lease_lapses_only_if_a_newer_report_shows_that_no_answer_came_through() {
+        let text = include_str!("../../wire/tests/settings.toml");
+        let settings = rushwalk_wire::settings::Settings::parse(text).unwrap();
+        let times = Times::new(&settings);
+        let (lease, loan) = (times.lease, times.loan);
+        let begin = || Heard {
+            since: Some((7, Instant::now())),
+            ..Heard::default()
+        };
+        let wait = lease + loan + Duration::from_secs(1);
+        let mut worker = begin();
+        assert!(worker.asks(&report(5, 3), 7, &times));
+        worker.gives(true, 7, None);
+        tokio::time::advance(wait).await;
+        assert!(!worker.asks(&report(5, 3), 7, &times));
+        assert!(!worker.lapsed(7), "a copy");
+        worker.gives(false, 7, None);
+        worker.asks(&report(6, 3), 7, &times);
+        assert!(!worker.lapsed(7), "the copy's answer may have come through");
+        tokio::time::advance(lease + Duration::from_secs(1)).await;
+        worker.asks(&report(7, 3), 7, &times);
+        assert!(worker.lapsed(7));
+        worker.asks(&report(8, 7), 7, &times);
+        assert!(!worker.lapsed(7), "it has heard us");
+
+        let mut worker = begin();
+        tokio::time::advance(loan + lease / 2).await;
+        worker.asks(&report(5, 3), 7, &times);
+        assert!(!worker.lapsed(7), "who had it before may have answered");
+        worker.gives(true, 7, None);
+        worker.asks(&report(6, 7), 7, &times);
+        worker.gives(true, 9, None);
+        tokio::time::advance(lease).await;
+        worker.since = Some((9, Instant::now() - wait));
+        worker.asks(&report(7, 7), 9, &times);
+        assert!(!worker.lapsed(9), "renewed under our token before");
+        worker.gives(true, 9, None);
+        tokio::time::advance(Duration::from_secs(1)).await;
+        worker.tainted = Some((9, 1));
+        worker.asks(&report(8, 7), 9, &times);
+        assert!(!worker.lapsed(9), "a start of ours is in doubt");
+        worker.tainted = None;
+        worker.asks(&report(9, 7), 9, &times);
+        assert!(worker.lapsed(9));
+    }
 }
