--- a/crates/lab/src/meetings.rs
+++ b/crates/lab/src/meetings.rs
@@ -2,7 +2,8 @@
 //!
 //! Two or three troubles, their moments, lengths and victims are drawn from a seed and
 //! played on a small site with jobs of all shapes whose users ask and cancel. The same
-//! seed plays the same day.
+//! seed draws the same troubles and jobs; controllers draw numbers of their own, so two
+//! runs differ in detail.
 
 use crate::Site;
 use clap::ValueEnum;
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -163,16 +163,31 @@
 const ELSEWHERE: Duration = Duration::from_millis(250);
 const NEXT: Duration = Duration::from_secs(1);
 
+/// Ends a worker's lease when its time has come, whatever the worker waits for.
+async fn keep_lease(world: Arc<World>, index: usize, lease: Duration) {
+    loop {
+        let over = {
+            let mut workers = world.workers();
+            let worker = &mut workers[index];
+            if worker.dead {
+                return;
+            }
+            worker.lapse(&world, lease);
+            worker.last + lease
+        };
+        tokio::time::sleep_until(over + Duration::from_millis(1)).await;
+    }
+}
+
 /// The life of a worker, from its start until its machine is deleted.
 pub async fn live(world: Arc<World>, index: usize, lease: Duration, every: Duration) {
+    tokio::spawn(keep_lease(world.clone(), index, lease));
     let mut node = 0;
     let mut pause = every;
     loop {
         sleep(std::mem::replace(&mut pause, every)).await;
         while world.has(Fault::Hung(index)) {
             sleep(Duration::from_millis(50)).await;
-            // It may go on within its lease only.
-            world.workers()[index].lapse(&world, lease);
         }
         let (report, sent) = {
             let mut workers = world.workers();
