The lab writes a job's text in one place; arrays during a trial were all refused

Cause, found on rereading: the text of a job stood three times in the lab. The trials' copy lacked required fields, so each array that should arrive during a failure was answered 400 and retried in vain. Trials measured failures without arrivals.

Change: site::job writes it for all three.

The program itself is unchanged.

--- a/crates/lab/src/meetings.rs
+++ b/crates/lab/src/meetings.rs
@@ -6,6 +6,7 @@
 //! runs differ in detail.
 
 use crate::Site;
+use crate::site::job;
 use clap::ValueEnum;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -202,12 +203,7 @@
 
 /// One user: submits, asks each five seconds, cancels if that is the plan.
 async fn user(world: Arc<World>, plan: Plan, mut turn: usize, told: Told) {
-    let text = serde_json::json!({"uid": plan.uid, "lane": plan.shape, "crew": "red",
-        "shape": plan.shape, "rank": "normal", "pieces": plan.tasks, "cpus": 1.0,
-        "gpus": plan.gpus, "memoryGb": 1.0, "kit": "i", "sizeGb": 1.0, "together": false,
-        "spread": false, "loaners": false, "guessS": plan.run_s, "waypointS": 0.0,
-        "stashS": 0.0})
-    .to_string();
+    let text = job(&plan.uid, plan.shape, plan.tasks, plan.gpus, plan.run_s);
     let Ok(spec) = JobSpec::parse(text.as_bytes()) else {
         return;
     };
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -40,6 +40,15 @@
     pub cloud_rps: f64,
 }
 
+/// A job as its user submits it.
+pub fn job(uid: &str, shape: &str, tasks: u32, gpus: f64, seconds: f64) -> String {
+    serde_json::json!({"uid": uid, "lane": shape, "crew": "red", "shape": shape,
+        "rank": "normal", "pieces": tasks, "cpus": 1.0, "gpus": gpus, "memoryGb": 1.0,
+        "kit": "i", "sizeGb": 1.0, "together": false, "spread": false, "loaners": false,
+        "guessS": seconds, "waypointS": 0.0, "stashS": 0.0})
+    .to_string()
+}
+
 /// An interface as the stand-ins call it.
 fn door(endpoint: BoxEndpoint<'static, Response>) -> Door {
     let endpoint = Arc::new(endpoint);
@@ -176,11 +185,7 @@
         seconds: f64,
     ) -> String {
         let uid = format!("j-{n:06}");
-        let body = serde_json::json!({"uid": uid, "lane": shape, "crew": "red", "shape": shape,
-            "rank": "normal", "pieces": tasks, "cpus": 1.0, "gpus": gpus, "memoryGb": 1.0,
-            "kit": "i", "sizeGb": 1.0, "together": false, "spread": false, "loaners": false,
-            "guessS": seconds, "waypointS": 0.0, "stashS": 0.0})
-        .to_string();
+        let body = job(&uid, shape, tasks, gpus, seconds);
         let spec = JobSpec::parse(body.as_bytes()).unwrap();
         self.world.rules().jobs.insert(uid.clone(), spec.clone());
         self.jobs.insert(uid.clone(), spec);
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -1,6 +1,7 @@
 //! One failure, played and measured.
 
 use crate::Site;
+use crate::site::job;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rushwalk::handover;
@@ -271,10 +272,7 @@
 /// Submits without waiting for the answer: the failure goes on meanwhile.
 fn post(site: &mut Site, n: u32) {
     let uid = format!("j-{n:06}");
-    let body = serde_json::json!({"uid": uid, "lane": "sweep", "crew": "red", "shape": "sweep",
-        "rank": "normal", "pieces": 4, "cpus": 1.0, "gpus": 1.0, "memoryGb": 1.0,
-        "kit": "i", "sizeGb": 1.0, "guessS": 20.0})
-    .to_string();
+    let body = job(&uid, "sweep", 4, 1.0, 20.0);
     if let Ok(spec) = rushwalk_wire::jobs::JobSpec::parse(body.as_bytes()) {
         site.world.rules().jobs.insert(uid, spec);
     }
