--- a/crates/plan/src/quota.rs
+++ b/crates/plan/src/quota.rs
@@ -1,9 +1,9 @@
 //! Teams' limits and guarantees, and where a job's tasks may be.
 
 use crate::Amount;
-use rushwalk_wire::jobs::JobSpec;
+use rushwalk_wire::jobs::{JobSpec, Shape};
 use rushwalk_wire::settings::Team;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// What teams use: tasks count until they are surely gone.
@@ -62,18 +62,22 @@
         return Err(format!("unknown zone {zone}"));
     }
     let amount = Amount::of_task(spec);
-    let fits = types.iter().any(|t| {
-        spec.types
-            .as_ref()
-            .is_none_or(|names| names.contains(&t.name))
-            && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
-            && amount.fits(&Amount::of_type(t))
+    let fit = types.iter().filter(|t| {
+        let names = spec.types.as_ref();
+        names.is_none_or(|names| names.contains(&t.name)) && amount.fits(&Amount::of_type(t))
     });
-    if !fits {
+    let allowed = |z: &&String| spec.zone.as_ref().is_none_or(|only| only == *z);
+    let open: BTreeSet<&String> = fit.flat_map(|t| t.zones.iter().filter(allowed)).collect();
+    if open.is_empty() {
         return Err("a task fits no allowed machine type".into());
     }
+    // Of an array as many run at a time as may be in its zone.
+    let together = spec.one_zone || open.len() == 1;
+    if spec.spread && together && spec.tasks > 1 && spec.shape != Shape::Array {
+        return Err("spread: its tasks can't be in two zones at least".into());
+    }
     let n = match spec.shape {
-        rushwalk_wire::jobs::Shape::Array => 1.0,
+        Shape::Array => 1.0,
         _ => f64::from(spec.tasks),
     };
     if !within(
--- a/crates/rushwalk/src/api.rs
+++ b/crates/rushwalk/src/api.rs
@@ -119,6 +119,7 @@
     }
     let mut there = std::pin::pin!(passed_on(node, change));
     tokio::select! {
+        biased;
         response = &mut here => match refused(&response) {
             true => there.await,
             false => response,
@@ -172,10 +173,9 @@
                 return not_now(node, "the machine types are not known yet");
             };
             let site = &node.settings.site;
-            match can_ever_run(spec, &site.teams, &types.types, &site.zones) {
-                Ok(()) => None,
-                Err(why) => Some((StatusCode::UNPROCESSABLE_ENTITY, why)),
-            }
+            let can = can_ever_run(spec, &site.teams, &types.types, &site.zones);
+            let can = can.and_then(|()| node.fits_a_value(spec));
+            can.err().map(|why| (StatusCode::UNPROCESSABLE_ENTITY, why))
         }
         Err(why) => Some((StatusCode::BAD_REQUEST, why.clone())),
     };
@@ -198,13 +198,7 @@
     };
     let uid = spec.uid.clone();
     let (class, tasks) = (spec.class.clone(), spec.tasks);
-    let op = Op::Submit(Arc::new(spec), now_ms());
-    let size = serde_json::to_string(&op).map_or(0, |t| t.len());
-    if size > node.packed_limit() {
-        // Refused before it is accepted: its record would fit no value.
-        return refuse(StatusCode::UNPROCESSABLE_ENTITY, "its lists are too long");
-    }
-    match change(node, op).await {
+    match change(node, Op::Submit(Arc::new(spec), now_ms())).await {
         Some(Outcome::Done(_)) => {
             // Who was first decides: a known job's state is told as it is.
             tracing::info!(job = uid, class, tasks, "job accepted");
@@ -248,6 +242,7 @@
     let read = match timeout(patience, &mut fresh).await {
         Ok(read) => read,
         Err(_) => tokio::select! {
+            biased;
             read = &mut fresh => read,
             answer = mesh::ask_peers(node, uid) => match answer {
                 Some(answer) => return told(node, answer.state),
--- a/crates/rushwalk/src/log.rs
+++ b/crates/rushwalk/src/log.rs
@@ -4,6 +4,7 @@
 use crate::view::View;
 use rushwalk_clients::Error;
 use rushwalk_clients::state::Outcome;
+use rushwalk_wire::jobs::JobSpec;
 use rushwalk_wire::records::{Op, entry_key};
 use rushwalk_wire::state::{Transaction, Write};
 use serde_json::value::RawValue;
@@ -119,6 +120,16 @@
         (kb * 1024.0) as usize - 64
     }
 
+    /// A submission whose record would fit no value is refused before it is accepted.
+    pub fn fits_a_value(&self, spec: &JobSpec) -> Result<(), String> {
+        let op = Op::Submit(Arc::new(spec.clone()), u64::MAX);
+        let size = serde_json::to_string(&op).map_or(0, |t| t.len());
+        match size > self.packed_limit() {
+            true => Err("its lists are too long".into()),
+            false => Ok(()),
+        }
+    }
+
     /// Appends changes to the log under conditions, and waits until they are in
     /// the view: only there it shows which of them took effect.
     pub async fn append(&self, conditions: &[(String, u64)], ops: &[Op], whom: For) -> Outcome {
