Machines that reach no controller get no more work

Cause: a machine whose reports don't come, but that answers at its own address, was not silent. Its lease ran out every lease_s, its tasks ended with it and were started there again by direct commands, which renew nothing.

Change: whoever has not reported for a lease under our token, though it answers, is silent like one that hears nothing: no new work, and what is gone there is started elsewhere.

--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -288,14 +288,14 @@
     // A new holder gives every worker time to find it, and asks those that it
     // does not hear of: a lost report is no silence.
     let last = worker.heard.max(worker.since.map(|s| s.1));
-    let deaf = worker.deaf(&node.times);
+    let unreachable = worker.deaf(&node.times) || worker.mute(&node.times);
     if machine.up.is_some()
         && let Some(last) = last
     {
-        // One that is heard, but can be told nothing, is of no more use.
-        let asked = deaf || worker.probed_at.is_some_and(|at| at > last);
+        // One that can be told nothing, or can report nothing, is of no more use.
+        let asked = unreachable || worker.probed_at.is_some_and(|at| at > last);
         let asked = asked && !worker.inflight;
-        if last.elapsed() > node.times.silent || deaf {
+        if last.elapsed() > node.times.silent || unreachable {
             if machine.silent.is_none() && asked {
                 if !std::mem::replace(&mut worker.told, true) {
                     tracing::info!(machine = &**name, "silent");
--- a/crates/rushwalk/src/reports.rs
+++ b/crates/rushwalk/src/reports.rs
@@ -43,6 +43,8 @@
     /// Highest token it has seen.
     pub token: u64,
     pub heard: Option<Instant>,
+    /// When a report of its own last came, not an answer to us.
+    reported: Option<Instant>,
     pub address: String,
     /// Time of day at which it is taken back, in milliseconds.
     pub recalled: Option<u64>,
@@ -99,7 +101,10 @@
             return false;
         }
         match beat {
-            true => self.heeded(report),
+            true => {
+                self.reported = Some(Instant::now());
+                self.heeded(report);
+            }
             // It came by its own address.
             false => self.unheeded = None,
         }
@@ -168,6 +173,14 @@
             .is_some_and(|since| since.elapsed() > times.silent)
     }
 
+    /// Whether it answers at its own address only: nobody answers its reports, so that its
+    /// lease has run out or is about to. Commands renew nothing: what is started there ends
+    /// with the lease.
+    pub fn mute(&self, times: &Times) -> bool {
+        let last = self.reported.max(self.since.map(|(_, since)| since));
+        self.heard.is_some() && last.is_some_and(|at| at.elapsed() > times.lease)
+    }
+
     /// Whether something said lately was lost: its own address is tried.
     pub fn unheeded(&self) -> bool {
         self.unheeded.is_some()
