A listing never leaves a gap, nor does a view lacking a change answer; seeded numbers

Cause, found by reading (a question of the issue): a controller that must list everything (its watch is too old) goes on answering users from fresh reads. If one of these brought the old view further while the listing ended, the new view took its place though it was older, and the answer of a read under way, which begins where the old one was, left a gap: a job accepted in between was unknown there. And after a missed change users were still answered from the view that lacks it.

Change: an older view never replaces a newer one; changes are taken in only by a view that reaches up to where they begin; a view that lacks a change renews no freshness.

--- a/crates/rushwalk/src/admin.rs
+++ b/crates/rushwalk/src/admin.rs
@@ -81,7 +81,7 @@
     let recovery = lock(&node.recovery);
     let (trouble, last_trouble) = recovery.told();
     let (connections, workers) = node.seats.count();
-    let age = node.synced.borrow().map(|at| at.elapsed().as_secs_f64());
+    let age = node.synced.get().map(|at| at.elapsed().as_secs_f64());
     answer(json!({"member": node.me(), "leads": leads,
         "leader": view.leader.as_ref().map(|(_, l)| l.member.clone()),
         "revision": view.revision, "state_age_s": age, "unreadable": view.unreadable,
--- a/crates/rushwalk/src/fleet/sizing.rs
+++ b/crates/rushwalk/src/fleet/sizing.rs
@@ -1,5 +1,6 @@
 //! What to rent, and what to give back.
 
+use crate::chance;
 use crate::leader::{LISTED, LeaderMemory, zone_of};
 use crate::slots;
 use crate::view::{Name, View};
@@ -63,7 +64,7 @@
             at: now,
         };
         tracing::info!(?rental, "renting");
-        let request: Name = format!("r-{:x}", rand::random::<u64>()).into();
+        let request: Name = format!("r-{:x}", chance::draw()).into();
         memory.unsent.insert(request.clone(), (version, uptime));
         ops.push(Op::Rent(request, rental));
     }
--- a/crates/rushwalk/src/handover.rs
+++ b/crates/rushwalk/src/handover.rs
@@ -2,6 +2,7 @@
 //! blocks whose holder does not hear them. The judgement itself is in
 //! `crates/detect`; here it meets the view and the state service.
 
+use crate::chance;
 use crate::node::{For, Node, lock, now_ms};
 use crate::view::{Name, View};
 use rushwalk_clients::state::Outcome;
@@ -169,7 +170,7 @@
 /// Takes what the view shows into the evidence.
 fn follow(node: &Node, followed: &mut Followed) {
     let view = node.view();
-    if node.synced.borrow().is_none() {
+    if node.synced.get().is_none() {
         return;
     }
     let now = node.uptime();
@@ -238,13 +239,15 @@
 /// Takes the lead when nobody has it or its holder is judged, in the order of the
 /// candidates; lays it down when somebody else would do better.
 pub async fn lead_loop(node: Arc<Node>) {
-    let mut changed = node.changed.subscribe();
+    let mut seen = node.changed.get();
     let mut leaderless: Option<Instant> = None;
     let mut pace = Pace::default();
     let look = node.times.greet / 2;
     loop {
         // A change shows at once; time alone changes the rest.
-        let _ = tokio::time::timeout(look, changed.changed()).await;
+        let changed = node.changed.wait_for(|n| n != seen);
+        let _ = tokio::time::timeout(look, changed).await;
+        seen = node.changed.get();
         let lease = *lock(&node.member_lease);
         let Some(lease) = lease.filter(|_| node.registered()) else {
             leaderless = None;
@@ -399,7 +402,7 @@
         // A leader that was no member as yet lent all blocks to others.
         return;
     }
-    let nonce = rand::random::<u64>() >> 12;
+    let nonce = chance::nonce();
     let led;
     let txn = {
         let view = node.view();
--- a/crates/rushwalk/src/lib.rs
+++ b/crates/rushwalk/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod api;
+mod chance;
 mod cloud;
 mod fleet;
 pub mod gate;
@@ -20,6 +21,7 @@
 mod recovery;
 mod reports;
 mod seats;
+pub mod signal;
 mod slots;
 mod snapshot;
 mod sync;
--- a/crates/rushwalk/src/mesh.rs
+++ b/crates/rushwalk/src/mesh.rs
@@ -189,7 +189,7 @@
     if node.state_age() < limit {
         return true;
     }
-    if node.synced.borrow().is_none() {
+    if node.synced.get().is_none() {
         return false;
     }
     // In an outage all ages grow alike, and a peer's is known as of its last
--- a/crates/rushwalk/src/node.rs
+++ b/crates/rushwalk/src/node.rs
@@ -1,5 +1,6 @@
 //! What all loops of one controller share.
 
+use crate::chance;
 use crate::leader::LeaderMemory;
 use crate::load::Load;
 pub use crate::lock::lock;
@@ -8,6 +9,7 @@
 use crate::recovery::Recovery;
 use crate::reports::Reports;
 use crate::seats::Seats;
+use crate::signal::Signal;
 use crate::view::View;
 use crate::view::served::Count;
 use rushwalk_clients::budget::Budget;
@@ -22,7 +24,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 
 /// Spans that follow from the platform's figures.
@@ -102,9 +104,9 @@
     /// The newest of our own commits: nothing is decided before it is seen.
     committed: AtomicU64,
     /// Rises with every change of the view.
-    pub changed: watch::Sender<u64>,
+    pub changed: Signal<u64>,
     /// When the newest successful read of the state service was sent.
-    pub synced: watch::Sender<Option<Instant>>,
+    pub synced: Signal<Option<Instant>>,
     pub fresh_wanted: Notify,
     pub member_lease: Mutex<Option<u64>>,
     pub meter: Meter,
@@ -123,9 +125,10 @@
 }
 
 /// From now on the time of day on this thread follows its runtime's clock, which trials
-/// pause.
-pub fn virtual_time() {
+/// pause, and its random numbers follow a seed.
+pub fn virtual_time(seed: u64) {
     VIRTUAL.set(Some(Instant::now()));
+    chance::seed(seed);
 }
 
 /// The time of day, in milliseconds.
@@ -235,7 +238,7 @@
         let peers = settings.peers.iter().map(|p| p.member.as_str());
         let detector = Detector::new(limits, peers, 0.0);
         Ok(Arc::new(Node {
-            nonce: rand::random::<u64>() >> 12,
+            nonce: chance::nonce(),
             state: State::new(http.clone(), state),
             cloud: Cloud::new(http.clone(), cloud, settings.site.cloud.rps),
             workers: Workers::new(http.clone(), kept(settings.site.limits.fd_limit)),
@@ -257,8 +260,8 @@
             users,
             users_queue: Mutex::new(Some(queue)),
             committed: AtomicU64::new(0),
-            changed: watch::Sender::new(0),
-            synced: watch::Sender::new(None),
+            changed: Signal::default(),
+            synced: Signal::default(),
             fresh_wanted: Notify::new(),
             member_lease: Mutex::default(),
             meter: Meter::default(),
@@ -283,7 +286,11 @@
     /// Seconds since the start, and how many of them its thread was busy.
     pub fn busy(&self) -> (f64, f64) {
         let metrics = tokio::runtime::Handle::current().metrics();
-        let busy = metrics.worker_total_busy_duration(0);
+        // Virtual time stands still while the thread works.
+        let busy = match VIRTUAL.get() {
+            Some(_) => Duration::ZERO,
+            None => metrics.worker_total_busy_duration(0),
+        };
         let tenths = |d: Duration| (d.as_secs_f64() * 10.0).round() / 10.0;
         (tenths(self.started.elapsed()), tenths(busy))
     }
@@ -300,14 +307,12 @@
     }
 
     pub fn poke(&self) {
-        self.changed.send_modify(|n| *n += 1);
+        self.changed.modify(|n| *n += 1);
     }
 
     /// How long ago the state service last answered a read, from its sending.
     pub fn state_age(&self) -> Duration {
-        self.synced
-            .borrow()
-            .map_or(Duration::MAX, |at| at.elapsed())
+        self.synced.get().map_or(Duration::MAX, |at| at.elapsed())
     }
 
     pub fn loan_valid(&self) -> bool {
@@ -350,31 +355,28 @@
     /// its predecessor. Not for others' blocks: workers are sent to their holders,
     /// and behind closed ports would come back each second.
     pub async fn settled(&self) {
-        let mut changed = self.changed.subscribe();
         loop {
+            let seen = self.changed.get();
             if self.registered() && !self.view().left_over(self.me(), self.nonce) {
                 return;
             }
-            if changed.changed().await.is_err() {
-                return;
-            }
+            self.changed.wait_for(|n| n != seen).await;
         }
     }
 
     /// Waits until the view has reached a revision.
     pub async fn reached(&self, revision: u64, patience: Duration) -> bool {
-        let mut synced = self.synced.subscribe();
         let until = Instant::now() + patience;
         loop {
+            let seen = self.synced.get();
             if self.view().revision >= revision {
                 return true;
             }
             // The watch brings it at once, unless its answer is late.
             let step = (patience / 40).min(until.saturating_duration_since(Instant::now()));
-            match tokio::time::timeout(step, synced.changed()).await {
-                Ok(Err(_)) => return false,
-                Ok(Ok(())) => {}
-                Err(_) => self.fresh_wanted.notify_one(),
+            let synced = self.synced.wait_for(|at| at != seen);
+            if tokio::time::timeout(step, synced).await.is_err() {
+                self.fresh_wanted.notify_one();
             }
             if Instant::now() >= until {
                 return self.view().revision >= revision;
@@ -385,10 +387,9 @@
     /// Waits for a view at least as new as this call; false if none came.
     pub async fn fresh(&self, patience: Duration) -> bool {
         let asked = Instant::now();
-        let mut synced = self.synced.subscribe();
         self.fresh_wanted.notify_one();
-        let newer = synced.wait_for(|at| at.is_some_and(|at| at >= asked));
-        matches!(tokio::time::timeout(patience, newer).await, Ok(Ok(_)))
+        let newer = self.synced.wait_for(|at| at.is_some_and(|at| at >= asked));
+        tokio::time::timeout(patience, newer).await.is_ok()
     }
 
     /// Commits within the write budget. The watch brings the result.
--- a/crates/rushwalk/src/sync.rs
+++ b/crates/rushwalk/src/sync.rs
@@ -35,24 +35,31 @@
     // in their order. So the new view is made beside the old one, and takes its
     // place once it has passed all that the listing may have shown.
     let revision = revision.unwrap_or(0);
-    let last = last.max(node.view().revision);
+    let mut last = last.max(node.view().revision);
     let turn = node.meter.turn(Work::List);
     let listed = View::listed(items, revision, now_ms());
     drop(turn);
     let Some(mut view) = listed else {
         return Err(Error::Unknown("the snapshot was replaced meanwhile".into()));
     };
-    while view.revision < last {
-        let block = Duration::from_millis(100);
-        let call = node
-            .state
-            .changes(ROOT, view.revision, block, node.times.round * 4);
-        view.watch(call.await?, now_ms());
-    }
-    if view.missed {
-        return Err(Error::Unknown("changes were missed".into()));
+    loop {
+        while view.revision < last {
+            let block = Duration::from_millis(100);
+            let since = view.revision;
+            let patience = node.times.round * 4;
+            let call = node.state.changes(ROOT, since, block, patience);
+            view.watch(since, call.await?, now_ms());
+        }
+        if view.missed {
+            return Err(Error::Unknown("changes were missed".into()));
+        }
+        // Fresh reads for users may have brought the old one further meanwhile.
+        let mut old = node.view();
+        match old.replace(view) {
+            Ok(()) => break,
+            Err(back) => (view, last) = (*back, old.revision),
+        }
     }
-    node.view().replace(view);
     tracing::info!(revision, "view listed");
     synced(node, sent);
     Ok(())
@@ -60,17 +67,24 @@
 
 fn synced(node: &Node, sent: Instant) {
     node.synced
-        .send_modify(|at| *at = Some(at.map_or(sent, |old| old.max(sent))));
+        .modify(|at| *at = Some(at.map_or(sent, |old| old.max(sent))));
     node.poke();
 }
 
 /// Takes a watch's answer into the view.
-fn take(node: &Node, sent: Instant, answer: Changes) {
+fn take(node: &Node, since: u64, sent: Instant, answer: Changes) {
     let mut turn = node.meter.turn(Work::Watch);
     turn.looked_at(answer.events.len());
-    node.view().watch(answer, now_ms());
+    let whole = {
+        let mut view = node.view();
+        view.watch(since, answer, now_ms()) && !view.missed
+    };
     drop(turn);
-    synced(node, sent);
+    // Nobody is answered from a view that lacks a change: it is listed anew.
+    match whole {
+        true => synced(node, sent),
+        false => node.poke(),
+    }
 }
 
 /// Follows the state service by long polls.
@@ -100,7 +114,7 @@
         let sent = Instant::now();
         let patience = node.times.round * 4;
         match node.state.changes(ROOT, since, block, patience).await {
-            Ok(answer) => take(&node, sent, answer),
+            Ok(answer) => take(&node, since, sent, answer),
             Err(error) if error.status() == Some(410) => listed = false,
             // More than can be held at once: a listing comes in pages.
             Err(Error::TooLarge) => listed = false,
@@ -120,7 +134,7 @@
     let reads = Arc::new(Semaphore::new(READS));
     loop {
         node.fresh_wanted.notified().await;
-        if node.synced.borrow().is_none() {
+        if node.synced.get().is_none() {
             sleep(gap).await;
             continue;
         }
@@ -149,7 +163,7 @@
         .state
         .changes(ROOT, since, Duration::ZERO, node.times.round * 2);
     match call.await {
-        Ok(answer) => take(node, sent, answer),
+        Ok(answer) => take(node, since, sent, answer),
         Err(error) => {
             tracing::debug!(%error, "fresh read failed");
             sleep(gap * 4).await;
@@ -181,7 +195,7 @@
                     }
                     Err(error) => tracing::debug!(%error, "lease not renewed"),
                 }
-                if node.synced.borrow().is_some() {
+                if node.synced.get().is_some() {
                     register(&node, lease).await;
                     if !node.registered() {
                         // Its earlier process's key was in the way, and ended just
--- a/crates/rushwalk/src/view.rs
+++ b/crates/rushwalk/src/view.rs
@@ -9,6 +9,7 @@
 mod apply;
 pub mod served;
 
+use crate::chance::Map;
 use rushwalk_plan::market::Kind;
 use rushwalk_plan::predict::{Averages, Rolling};
 use rushwalk_plan::slot::ImageId;
@@ -112,9 +113,9 @@
     /// Of each block's machines, how many are up, and how many of those silent.
     pulse: HashMap<Name, (usize, usize)>,
     pub rentals: BTreeMap<Name, Rental>,
-    pub jobs: HashMap<Name, JobRow>,
+    pub jobs: Map<Name, JobRow>,
     /// Jobs that are over and have no task left.
-    over: HashMap<Name, (Phase, u32)>,
+    over: Map<Name, (Phase, u32)>,
     /// Jobs that are not over, by priority and arrival.
     pub active: BTreeSet<(Priority, u64, Name)>,
     /// Jobs that have live tasks.
@@ -124,7 +125,7 @@
     /// Machines whose tasks have changed since somebody looked.
     pub dirty: BTreeSet<Name>,
     /// Latest arrivals per class (time of day in ms), in their order.
-    pub arrivals: HashMap<String, VecDeque<(u64, Arc<JobSpec>)>>,
+    pub arrivals: Map<String, VecDeque<(u64, Arc<JobSpec>)>>,
     /// Numbers of images. They are this process's own.
     images: HashMap<Name, ImageId>,
     /// Who is served, since this process first listed everything.
@@ -177,13 +178,13 @@
             blocks: BTreeMap::new(),
             pulse: HashMap::new(),
             rentals: BTreeMap::new(),
-            jobs: HashMap::new(),
-            over: HashMap::new(),
+            jobs: Map::default(),
+            over: Map::default(),
             active: BTreeSet::new(),
             live: BTreeSet::new(),
             unplaced: BTreeSet::new(),
             dirty: BTreeSet::new(),
-            arrivals: HashMap::new(),
+            arrivals: Map::default(),
             images: HashMap::new(),
             served: Served::default(),
         }
@@ -245,8 +246,14 @@
         Some(view)
     }
 
-    /// Puts a newly listed view in this one's place; what was learnt stays.
-    pub fn replace(&mut self, mut view: View) {
+    /// Puts a newly listed view in this one's place; what was learnt stays. Not one that
+    /// is older, which comes back: a read that was sent meanwhile brings only what is
+    /// newer than this one, and what lies between would be in neither. (A job that was
+    /// accepted then was told to be unknown.)
+    pub fn replace(&mut self, mut view: View) -> Result<(), Box<View>> {
+        if view.revision < self.revision {
+            return Err(Box::new(view));
+        }
         std::mem::swap(&mut self.averages, &mut view.averages);
         if !self.served.classes.is_empty() {
             // What was counted goes on; what was missed meanwhile is not in it.
@@ -254,9 +261,15 @@
         }
         view.dirty = view.machines.keys().cloned().collect();
         *self = view;
+        Ok(())
     }
 
-    pub fn watch(&mut self, answer: Changes, now_ms: u64) {
+    /// Takes in the changes after a revision; false if this view does not reach up to it,
+    /// and would have a gap.
+    pub fn watch(&mut self, since: u64, answer: Changes, now_ms: u64) -> bool {
+        if since > self.revision {
+            return false;
+        }
         let mut events: Vec<Event> = answer.events;
         events.sort_by(|a, b| (a.version, a.key()).cmp(&(b.version, b.key())));
         let known = self.revision;
@@ -282,6 +295,7 @@
             }
         }
         self.revision = known.max(answer.revision);
+        true
     }
 
     fn wrote_at(&mut self, member: &str, revision: u64) {
@@ -615,12 +629,16 @@
         let key = entry_key("node-0", 3);
         let rent = r#"{"R":["r-1",{"k":"box","z":"east","s":false,"n":2,"at":1}]}"#;
         let rented = r#"{"M":["r-1",[["m-1","east"],["m-2","east"]]]}"#;
-        view.watch(changes(5, &key, 0, rent), 10);
-        view.watch(changes(6, &entry_key("node-1", 0), 0, rented), 10);
-        view.watch(changes(5, &key, 0, rent), 10);
+        view.watch(view.revision, changes(5, &key, 0, rent), 10);
+        view.watch(
+            view.revision,
+            changes(6, &entry_key("node-1", 0), 0, rented),
+            10,
+        );
+        view.watch(view.revision, changes(5, &key, 0, rent), 10);
         assert_eq!((view.rentals.len(), view.machines.len()), (0, 2));
         assert!(!view.missed);
-        view.watch(changes(9, &key, 7, rent), 10);
+        view.watch(view.revision, changes(9, &key, 7, rent), 10);
         assert!(view.missed);
     }
 
@@ -635,7 +653,7 @@
             let text =
                 format!(r#"{{"ledger":3,"events":[{{"write":"{key}","stamp":3,"v":{value}}}]}}"#);
             let mut view = View::new(Averages::new(4, 1.0));
-            view.watch(serde_json::from_str(&text).unwrap(), 10);
+            view.watch(0, serde_json::from_str(&text).unwrap(), 10);
             assert_eq!(view.unreadable.as_deref(), Some(key));
         }
     }
