--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -91,7 +91,7 @@
     #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(2..=16))]
     controllers: u16,
     /// Controller-hours for each setting.
-    #[arg(long, default_value_t = 120.0)]
+    #[arg(long, default_value_t = 120.0, value_parser = hours)]
     hours: f64,
     /// Share of greetings that are lost.
     #[arg(long, default_value_t = 0.02)]
@@ -117,6 +117,14 @@
     }
 }
 
+fn hours(text: &str) -> Result<f64, String> {
+    let hours: f64 = text.parse().map_err(|_| "not a number".to_string())?;
+    match hours > 0.0 && hours <= 100_000.0 {
+        true => Ok(hours),
+        false => Err("not above 0 and up to 100000".into()),
+    }
+}
+
 fn main() -> ExitCode {
     let done = match Cli::parse().what {
         None => trials(&Trial::parse_from_defaults()),
