A block that comes back brings no verdict on its machines from an earlier tenure

Cause: the mend of mute machines looked at the last report and at the time since when a machine is looked after, whatever the token. Whoever got a block back after more than a lease took all of its machines to be mute, marked them silent, and lost the block again.

Change: what is known counts under the present token only, as for the other proofs.

--- a/crates/rushwalk/src/holder.rs
+++ b/crates/rushwalk/src/holder.rs
@@ -291,7 +291,7 @@
     // A new holder gives every worker time to find it, and asks those that it
     // does not hear of: a lost report is no silence.
     let last = worker.heard.max(worker.since.map(|s| s.1));
-    let unreachable = worker.deaf(&node.times) || worker.mute(&node.times);
+    let unreachable = worker.deaf(&node.times) || worker.mute(token, &node.times);
     if machine.up.is_some()
         && let Some(last) = last
     {
--- a/crates/rushwalk/src/reports.rs
+++ b/crates/rushwalk/src/reports.rs
@@ -179,9 +179,15 @@
     /// Whether it answers at its own address only: nobody answers its reports, so that its
     /// lease has run out or is about to. Commands renew nothing: what is started there ends
     /// with the lease.
-    pub fn mute(&self, times: &Times) -> bool {
-        let last = self.reported.max(self.since.map(|(_, since)| since));
-        self.heard.is_some() && last.is_some_and(|at| at.elapsed() > times.lease)
+    ///
+    /// Not by what is known of an earlier tenure: whoever got a block back took all of its
+    /// machines to be mute, and lost it again.
+    pub fn mute(&self, token: u64, times: &Times) -> bool {
+        let Some((_, since)) = self.since.filter(|(under, _)| *under == token) else {
+            return false;
+        };
+        let last = self.reported.map_or(since, |at| at.max(since));
+        self.heard.is_some() && last.elapsed() > times.lease
     }
 
     /// Whether something said lately was lost: its own address is tried.
--- a/crates/rushwalk/src/reports/tests.rs
+++ b/crates/rushwalk/src/reports/tests.rs
@@ -79,3 +79,29 @@
     worker.asks(&report(9, 7), 9, &times);
     assert!(worker.lapsed(9));
 }
+
+/// A block that comes back to a holder brings what it last knew of its machines.
+#[tokio::test(start_paused = true)]
+async fn what_was_known_under_an_earlier_token_makes_no_machine_mute() {
+    let text = include_str!("../../../wire/tests/settings.toml");
+    let settings = rushwalk_wire::settings::Settings::parse(text).unwrap();
+    let times = Times::new(&settings);
+    let mut worker = Heard {
+        since: Some((7, Instant::now())),
+        ..Heard::default()
+    };
+    worker.take(&report(5, 7), true);
+    tokio::time::advance(times.lease + Duration::from_secs(1)).await;
+    assert!(worker.mute(7, &times), "no report for a lease");
+    assert!(!worker.mute(9, &times), "just come back");
+    worker.since = Some((9, Instant::now()));
+    worker.take(&report(6, 7), false);
+    assert!(
+        !worker.mute(9, &times),
+        "answers when asked, and has time to report"
+    );
+    tokio::time::advance(times.lease + Duration::from_secs(1)).await;
+    assert!(worker.mute(9, &times));
+    worker.take(&report(7, 9), true);
+    assert!(!worker.mute(9, &times), "it reports again");
+}
