The checker orders requests and answers by a count, as strict as before again

Found on rereading: the history compared moments. On virtual time an answer and the next question of the same user fall on one moment, so a question sent right after an answer was taken to overlap it, and the first look after an acceptance was judged by nobody. And an answer "cancelled" that nobody asked for no longer counted as a final state: the test of the checker had been changed to ask twice and to wait between; it is as it was again.

Change: requests and answers are counted in their order; an answer may break two rules.

--- a/crates/lab/src/meetings.rs
+++ b/crates/lab/src/meetings.rs
@@ -236,7 +236,8 @@
         Some(node) => request(world, node, what, uid, body).await,
         None => {
             let mut rules = world.rules();
-            rules.answered(what, uid, Instant::now(), None, None);
+            let sent = rules.sends(what, uid);
+            rules.answered(what, uid, sent, None, None);
             None
         }
     }
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -15,7 +15,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::task::{JoinHandle, JoinSet};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 const SETTINGS: &str = include_str!("../../wire/tests/settings.toml");
 
@@ -103,10 +103,7 @@
         Request::Ask => ("GET", format!("/api/jobs/{uid}"), 2),
         Request::Cancel => ("POST", format!("/api/jobs/{uid}/abort"), 5),
     };
-    if what == Request::Cancel {
-        world.rules().asks_to_cancel(uid);
-    }
-    let sent = Instant::now();
+    let sent = world.rules().sends(what, uid);
     let call = world.ask(node, method, &path, body.as_bytes().to_vec());
     let answer = timeout(Duration::from_secs(patience), call).await;
     let answer = answer.ok().flatten();
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -9,8 +9,8 @@
 mod tests;
 mod waiting;
 
+use history::History;
 pub use history::Request;
-use history::{History, Told};
 use rushwalk_wire::jobs::{JobSpec, Shape, Stance};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
@@ -64,6 +64,8 @@
     pub bad: HashSet<String>,
     /// What users were told of each job.
     told: BTreeMap<String, History>,
+    /// Counts requests and answers in their order: two may fall on one moment.
+    order: u64,
     /// Since when no question about a job was answered.
     unanswered: HashMap<String, Instant>,
     /// The latest questions of all, and whether they were answered.
@@ -97,25 +99,29 @@
         fails
     }
 
-    /// What a user was answered to a request that was sent at some time; `None` if nothing.
+    /// A user sends a request; what is returned goes with its answer.
+    pub fn sends(&mut self, request: Request, uid: &str) -> u64 {
+        if request == Request::Cancel {
+            self.asks_to_cancel(uid);
+        }
+        self.order += 1;
+        self.order
+    }
+
+    /// What a user was answered to a request; `None` if nothing.
     pub fn answered(
         &mut self,
         request: Request,
         uid: &str,
-        sent: Instant,
+        sent: u64,
         status: Option<u16>,
         stance: Option<Stance>,
     ) {
+        self.order += 1;
         let history = self.told.entry(uid.into()).or_default();
-        let told = history.answer(request, sent, status, stance);
-        match told {
-            Told::Nothing | Told::InOrder => {}
-            Told::Forgotten(status) => {
-                self.broken
-                    .push(format!("forgotten: {uid} answered {status}"));
-            }
-            Told::WentBack(line) => self.broken.push(format!("went_back: {uid} {line}")),
-        }
+        let broken = history.answer(request, (sent, self.order), status, stance);
+        let broken = broken.into_iter().map(|line| format!("{line} ({uid})"));
+        self.broken.extend(broken);
         if request == Request::Submit && matches!(status, Some(200 | 201)) && self.bad.contains(uid)
         {
             self.broken.push(format!("accepted though bad: {uid}"));
--- a/crates/testkit/src/rules/history.rs
+++ b/crates/testkit/src/rules/history.rs
@@ -11,23 +11,14 @@
     Cancel,
 }
 
-/// What an answer comes to.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Told {
-    /// It says nothing of the job.
-    Nothing,
-    InOrder,
-    /// An accepted job is refused or not known.
-    Forgotten(u16),
-    WentBack(String),
-}
-
 #[derive(Debug, Default)]
 pub struct History {
     /// When the first answer arrived that says that it is accepted.
     pub accepted: Option<Instant>,
-    /// The first final state told, and when that answer arrived.
-    over: Option<(Instant, Stance)>,
+    /// Which answer that was.
+    acceptance: Option<u64>,
+    /// The first final state told, and by which answer.
+    over: Option<(u64, Stance)>,
     cancelling: bool,
 }
 
@@ -40,45 +31,43 @@
         self.cancelling
     }
 
-    /// Takes in an answer that arrives now to a request sent then.
+    /// Takes in an answer to a request, both by their places in the order of all; which
+    /// rules it breaks.
     pub fn answer(
         &mut self,
         request: Request,
-        sent: Instant,
+        (sent, now): (u64, u64),
         status: Option<u16>,
         stance: Option<Stance>,
-    ) -> Told {
-        let before = |at: Option<Instant>| at.is_some_and(|at| at < sent);
+    ) -> Vec<String> {
+        let known = self.acceptance.is_some_and(|at| at < sent);
         match (status, request) {
-            (Some(status @ (400 | 422)), Request::Submit) | (Some(status @ 404), _) => {
-                match before(self.accepted) {
-                    true => Told::Forgotten(status),
-                    false => Told::InOrder,
-                }
+            (Some(status @ (400 | 422)), Request::Submit) | (Some(status @ 404), _) if known => {
+                vec![format!("forgotten: answered {status}")]
             }
             (Some(200 | 201), _) => {
                 self.accepted.get_or_insert_with(Instant::now);
-                stance.map_or(Told::Nothing, |stance| self.state(sent, stance))
+                self.acceptance.get_or_insert(now);
+                stance.map_or(Vec::new(), |stance| self.state((sent, now), stance))
             }
-            _ => Told::Nothing,
+            _ => Vec::new(),
         }
     }
 
-    fn state(&mut self, sent: Instant, stance: Stance) -> Told {
+    fn state(&mut self, (sent, now): (u64, u64), stance: Stance) -> Vec<String> {
+        let mut broken = Vec::new();
         if stance == Stance::Cancelled && !self.cancelling {
-            return Told::WentBack("not cancelled".into());
+            broken.push("went_back: not cancelled".to_string());
         }
         let is_final = matches!(stance, Stance::Done | Stance::Cancelled);
         match self.over {
             // Two final states never agree, in whichever order they were asked for.
             Some((at, before)) if before != stance && (is_final || at < sent) => {
-                Told::WentBack(format!("{stance:?} after {before:?}"))
-            }
-            None if is_final => {
-                self.over = Some((Instant::now(), stance));
-                Told::InOrder
+                broken.push(format!("went_back: {stance:?} after {before:?}"));
             }
-            _ => Told::InOrder,
+            None if is_final => self.over = Some((now, stance)),
+            _ => {}
         }
+        broken
     }
 }
--- a/crates/testkit/src/rules/tests.rs
+++ b/crates/testkit/src/rules/tests.rs
@@ -33,12 +33,14 @@
 impl Rules {
     /// A question that was sent and answered now.
     fn ask(&mut self, uid: &str, status: Option<u16>, stance: Option<Stance>) {
-        self.answered(Request::Ask, uid, Instant::now(), status, stance);
+        let sent = self.sends(Request::Ask, uid);
+        self.answered(Request::Ask, uid, sent, status, stance);
     }
 
     fn submit(&mut self, uid: &str, status: u16) {
         let queued = Some(Stance::Queued).filter(|_| status < 300);
-        self.answered(Request::Submit, uid, Instant::now(), Some(status), queued);
+        let sent = self.sends(Request::Submit, uid);
+        self.answered(Request::Submit, uid, sent, Some(status), queued);
     }
 }
 
@@ -63,7 +65,6 @@
     rules.starts("j-1", 1, &at("m-3", "east"));
     assert_eq!(names(&rules), ["ran_twice", "quota"]);
     rules.ask("j-1", Some(200), Some(Stance::Done));
-    pass(1).await;
     rules.ask("j-1", Some(200), Some(Stance::Running));
     rules.ask("j-2", Some(200), Some(Stance::Queued));
     rules.ask("j-1", Some(404), None);
@@ -80,8 +81,6 @@
     );
     rules.broken.clear();
     rules.ask("j-1", Some(200), Some(Stance::Cancelled));
-    rules.asks_to_cancel("j-1");
-    rules.ask("j-1", Some(200), Some(Stance::Cancelled));
     assert_eq!(
         names(&rules),
         ["went_back", "went_back"],
@@ -124,16 +123,14 @@
 async fn the_checker_tells_older_answers_from_overlapping_ones() {
     use Request::{Ask, Cancel, Submit};
     let mut rules = rules();
-    let early = Instant::now();
-    pass(5).await;
+    let early = rules.sends(Ask, "j-1");
     rules.submit("j-1", 201);
     // Asked before it was accepted, and answered after.
     rules.answered(Ask, "j-1", early, Some(404), None);
     rules.answered(Submit, "j-1", early, Some(400), None);
     rules.answered(Cancel, "j-1", early, Some(404), None);
     assert!(rules.broken.is_empty(), "{:?}", rules.broken);
-    pass(5).await;
-    let accepted = Instant::now();
+    let accepted = rules.sends(Ask, "j-1");
     rules.answered(Ask, "j-1", accepted, Some(404), None);
     rules.answered(Submit, "j-1", accepted, Some(400), None);
     rules.answered(Cancel, "j-1", accepted, Some(404), None);
@@ -142,13 +139,12 @@
     rules.asks_to_cancel("j-1");
     let aborted = Some(Stance::Cancelled);
     rules.answered(Cancel, "j-1", accepted, Some(200), aborted);
-    pass(5).await;
     for request in [Ask, Submit, Cancel] {
         rules.answered(request, "j-1", accepted, Some(200), Some(Stance::Running));
     }
     assert!(rules.broken.is_empty(), "{:?}", rules.broken);
     for request in [Ask, Submit, Cancel] {
-        let now = Instant::now();
+        let now = rules.sends(request, "j-1");
         rules.answered(request, "j-1", now, Some(200), Some(Stance::Running));
         rules.answered(request, "j-1", now, Some(200), aborted);
     }
