Review case 2: a job that failed once on three machines is never started again

A job of which three tasks failed on three machines avoids these machines for ever, and no machine is rented for it any more. It waits although all three have room and fail no longer, and although more machines can be rented.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,12 +7,12 @@
 #![allow(dead_code)]
 
 mod cloud;
+mod faulty;
 
 mod http;
 mod images;
 mod json;
 mod nodes;
-
 mod record;
 mod site;
 mod state;
@@ -27,6 +27,7 @@
     let record = Arc::new(Record::new(&args.next().unwrap_or("record.txt".into())));
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match case.as_str() {
+        "faulty" => faulty::run(record, trouble),
         "images" => images::run(record, trouble),
         _ => 2,
     };
