Review case 3: a gang that finds no machines keeps its team's other jobs from starting

A gang counts against its team's limit in the plan even if no machine can be found for it. Jobs of the team that come after it then find the limit reached, although the team uses nothing.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -13,6 +13,8 @@
 mod images;
 mod json;
 mod nodes;
+mod quota;
+
 mod record;
 mod site;
 mod state;
@@ -28,6 +30,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match case.as_str() {
         "faulty" => faulty::run(record, trouble),
+        "quota" => quota::run(record, trouble),
         "images" => images::run(record, trouble),
         _ => 2,
     };
