--- a/crates/rushwalk/src/leadership/snapshot_writer.rs
+++ b/crates/rushwalk/src/leadership/snapshot_writer.rs
@@ -8,7 +8,7 @@
 use crate::store::{Committer, LogWriter, Replica, WritePriority};
 use rushwalk_clients::store::CommitOutcome;
 use rushwalk_protocol::store::{Transaction, Write};
-use rushwalk_state::codec::{self, MutationPacker};
+use rushwalk_state::codec::{self, MutationPacker, UnstorableMutation};
 use rushwalk_state::keys;
 use rushwalk_state::records::SnapshotManifest;
 use rushwalk_state::{Mutation, Revision};
@@ -93,7 +93,13 @@
         else {
             return;
         };
-        let chunks = self.pack(mutations).await;
+        let chunks = match self.pack(mutations).await {
+            Ok(chunks) => chunks,
+            Err(error) => {
+                tracing::error!(%error, "snapshot abandoned: it would lack a part of the state");
+                return;
+            }
+        };
         draft.manifest.chunks = chunks.len();
         if let ChunkOutcome::Written = self.write_chunks(&draft, &chunks).await {
             self.write_manifest(&draft).await;
@@ -121,16 +127,23 @@
     /// Packs the mutations into chunks. Packing the whole state takes longer than other tasks on
     /// this thread should wait, so they may run in between; the snapshot stays consistent because
     /// `mutations` was copied from the state at one revision.
-    async fn pack(&self, mutations: Vec<Mutation>) -> Vec<String> {
+    ///
+    /// # Errors
+    ///
+    /// A mutation can't be stored. A snapshot without it must not be written: the state of a
+    /// controller that starts from it would differ from that of its peers.
+    async fn pack(&self, mutations: Vec<Mutation>) -> Result<Vec<String>, UnstorableMutation> {
         let mut packer = MutationPacker::new(self.log.max_packed_bytes());
         for slice in mutations.chunks(MUTATIONS_PER_SLICE) {
             let mut timer = self.work_profile.start(WorkKind::Snapshot);
             timer.add_items(slice.len());
-            packer.extend(slice);
+            for mutation in slice {
+                packer.add(mutation)?;
+            }
             drop(timer);
             yield_now().await;
         }
-        packer.finish()
+        Ok(packer.finish())
     }
 
     async fn write_chunks(&self, draft: &Draft, chunks: &[String]) -> ChunkOutcome {
--- a/crates/rushwalk/src/store/log_writer.rs
+++ b/crates/rushwalk/src/store/log_writer.rs
@@ -9,8 +9,9 @@
 use rushwalk_clients::store::CommitOutcome;
 use rushwalk_protocol::jobs::JobSpec;
 use rushwalk_protocol::store::{Transaction, Write};
+use rushwalk_state::codec::{self, MutationPacker, UnstorableMutation};
 use rushwalk_state::mutation::{Mutation, SubmitJob};
-use rushwalk_state::{EntryKeyAllocator, Revision, UnixMillis, codec, keys};
+use rushwalk_state::{EntryKeyAllocator, Revision, UnixMillis, keys};
 use std::iter::Peekable;
 use std::sync::Arc;
 use std::vec;
@@ -96,7 +97,8 @@
     /// Mutations that exceed one transaction are committed in several, in order, up to the first
     /// that is not committed; the outcome is that of the last one. It is
     /// [`CommitOutcome::Unanswered`] also if the replica does not apply a commit in time, and
-    /// `Committed(0)` if there are no mutations.
+    /// `Committed(0)` if there are no mutations. A mutation that can't be stored is left out, as
+    /// if its preconditions did not hold, so that it does not prevent the others.
     pub async fn append(
         &self,
         preconditions: &[Precondition],
@@ -104,8 +106,7 @@
         priority: WritePriority,
     ) -> CommitOutcome {
         let mut last = CommitOutcome::Committed(0);
-        let packed = codec::pack(mutations, self.max_packed_bytes());
-        let mut packed = packed.into_iter().peekable();
+        let mut packed = self.pack(mutations).into_iter().peekable();
         while packed.peek().is_some() {
             let batch = self.next_batch(preconditions, &mut packed);
             last = self.committer.commit(batch.transaction, priority).await;
@@ -128,6 +129,22 @@
         last
     }
 
+    /// Packs mutations into the texts of log entries, without those that can't be stored.
+    fn pack(&self, mutations: &[Mutation]) -> Vec<String> {
+        let mut packer = MutationPacker::new(self.max_packed_bytes());
+        for mutation in mutations {
+            if let Err(UnstorableMutation { kind, bytes }) = packer.add(mutation) {
+                // This should not happen: large submissions are rejected.
+                tracing::error!(
+                    kind,
+                    bytes,
+                    "mutation dropped: it exceeds the size limit of a value"
+                );
+            }
+        }
+        packer.finish()
+    }
+
     /// Builds a transaction from as many of the `packed` texts as fit; each becomes a log entry.
     fn next_batch(
         &self,
--- a/crates/simulator/tests/cluster/main.rs
+++ b/crates/simulator/tests/cluster/main.rs
@@ -6,3 +6,4 @@
 mod restart;
 mod scale;
 mod scheduling;
+mod snapshots;
--- /dev/null
+++ b/crates/simulator/tests/cluster/snapshots.rs
@@ -0,0 +1,89 @@
+//! Restarts of controllers from a snapshot with a machine whose record exceeds the size limit of
+//! a value of the store. A snapshot used to leave such a machine out.
+
+use rushwalk_simulator::{ClusterConfig, SimulatedCluster, inspect};
+use serde_json::json;
+
+/// The number of images that one machine's cache holds. Their names have 200 bytes each, so that
+/// the machine's record has some 50 KB.
+const IMAGES: u32 = 240;
+
+/// The number of the service that keeps the machine in use.
+const SERVICE: u32 = 1;
+
+/// The simulated cluster, whose store has values of 16 KB and whose snapshots are due after few
+/// log entries.
+fn cluster(seed: u64) -> SimulatedCluster {
+    let config = ClusterConfig {
+        write_rps: 10.0,
+        value_kb: 16.0,
+        ..ClusterConfig::default()
+    };
+    SimulatedCluster::with_config(config, seed)
+}
+
+fn snapshot_generation(cluster: &SimulatedCluster) -> u64 {
+    inspect::snapshot_generation(cluster.first_controller())
+}
+
+/// Runs jobs with an image each beside a service, then waits until a snapshot is written that
+/// covers them. Returns the service.
+async fn fill_the_cache_of_a_machine(cluster: &mut SimulatedCluster) -> String {
+    let service = cluster.submit(SERVICE, "standing", 1, 1.0, 0.0).await;
+    cluster.run_for(30).await;
+    let mut jobs = Vec::new();
+    for number in 1000..1000 + IMAGES {
+        let image = format!("{number:0>200}");
+        let fields = json!({"cpus": 0.05, "memoryGb": 0.1, "kit": image, "sizeGb": 0.02});
+        let job = cluster.submit_with(number, "sweep", 1, 0.0, 1.0, fields);
+        jobs.push(job.await);
+    }
+    cluster.wait_until_done(&jobs, 300).await;
+    // A snapshot may have been begun before the last job was done, so the second one counts.
+    let generation = snapshot_generation(cluster);
+    let mut number = 10_000;
+    while snapshot_generation(cluster) < generation + 2 {
+        number += 1;
+        assert!(number < 10_400, "fewer than two snapshots were written");
+        cluster.submit(number, "sweep", 1, 0.0, 1.0).await;
+        cluster.run_for(1).await;
+    }
+    service
+}
+
+/// A controller that started from the snapshot did not know the machine, so placements there had
+/// no effect on its state. Once it owned the machine's shard, it started the tasks again on
+/// another machine while they ran.
+#[tokio::test(start_paused = true)]
+async fn a_controller_restarted_from_a_snapshot_starts_no_running_task_again() {
+    let mut cluster = cluster(31);
+    fill_the_cache_of_a_machine(&mut cluster).await;
+    for victim in 0..cluster.processes.len() {
+        cluster.crash(victim);
+        let first = 20_000 + 10 * victim as u32;
+        let mut jobs = Vec::new();
+        for number in first..first + 4 {
+            jobs.push(cluster.submit(number, "sweep", 1, 0.0, 40.0).await);
+        }
+        cluster.run_for(3).await;
+        cluster.start(victim);
+        cluster.wait_until_done(&jobs, 150).await;
+    }
+    cluster.assert_invariants();
+}
+
+/// After a crash of all controllers, the machine was deleted as unexpected. The service on it was
+/// never started again, though all controllers answered that it ran.
+#[tokio::test(start_paused = true)]
+async fn a_service_outlives_a_crash_of_all_controllers_after_a_snapshot() {
+    let mut cluster = cluster(32);
+    let service = fill_the_cache_of_a_machine(&mut cluster).await;
+    cluster.crash_all();
+    cluster.run_for(3).await;
+    cluster.start_all();
+    cluster.run_for(90).await;
+    assert_eq!(cluster.job_status(&service).await.running, 1);
+    let machines = cluster.platform.checker().machines_of(&service);
+    assert_eq!(machines.len(), 1, "the service is on no machine");
+    cluster.assert_invariants();
+}
--- a/crates/state/src/cluster_state/machines.rs
+++ b/crates/state/src/cluster_state/machines.rs
@@ -4,7 +4,7 @@
 use crate::mutation::{
     MachinesReady, MachinesUnreachable, ReclaimNotice, RentalFulfilled, SetLifecycle,
 };
-use crate::records::{MachineLifecycle, MachineRecord};
+use crate::records::{CachedImage, MachineLifecycle, MachineRecord};
 use rushwalk_protocol::ids::MachineId;
 use rushwalk_scheduler::durations::RollingMean;
 use rushwalk_scheduler::timeline::ImageId;
@@ -43,6 +43,12 @@
         }
     }
 
+    /// Adds images that were used less recently than those of the record.
+    fn add_older_images(&mut self, mut older: Vec<CachedImage>) {
+        older.append(&mut self.record.images);
+        self.record.images = older;
+    }
+
     /// Updates the IDs of the images in the machine's cache; new images get the next IDs.
     pub(super) fn intern_images(&mut self, image_ids: &mut HashMap<Arc<str>, ImageId>) {
         let images = self.record.images.iter();
@@ -70,8 +76,12 @@
         }
     }
 
+    /// Adds a machine. If the machine is known, only the images in the record are added, as less
+    /// recently used ones: in a snapshot, several mutations may describe one machine.
     pub(super) fn add_machine(&mut self, id: MachineId, record: MachineRecord) {
-        if self.machines.contains_key(&id) {
+        if let Some(machine) = self.machines.get_mut(&id) {
+            machine.add_older_images(record.images);
+            machine.intern_images(&mut self.image_ids);
             return;
         }
         let added = shard_counts_of(&record);
--- a/crates/state/src/codec.rs
+++ b/crates/state/src/codec.rs
@@ -9,6 +9,17 @@
 use crate::{Revision, records};
 use serde_json::value::RawValue;
 
+/// A mutation can't be stored: it exceeds the size limit of a text and can't be split, or it
+/// can't be serialized.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("a mutation of the kind {kind} with {bytes} bytes can't be stored")]
+pub struct UnstorableMutation {
+    /// The kind of the mutation.
+    pub kind: &'static str,
+    /// The size of the mutation in bytes; 0 if it can't be serialized.
+    pub bytes: usize,
+}
+
 /// Packs mutations, in their order, into as few texts as the size limit of a text allows.
 #[derive(Debug)]
 pub struct MutationPacker {
@@ -25,24 +36,26 @@
         }
     }
 
-    /// Appends mutations to those that are already packed. A mutation that exceeds the size
-    /// limit on its own is dropped with a log message; one that can't be serialized is
-    /// dropped without.
-    pub fn extend(&mut self, mutations: &[Mutation]) {
-        for mutation in mutations {
-            let Ok(text) = serde_json::to_string(mutation) else {
-                continue;
-            };
-            if text.len() > self.max_bytes {
-                // This should not happen: callers split long lists and reject large submissions.
-                tracing::error!(
-                    bytes = text.len(),
-                    "mutation dropped: it exceeds the size limit of a value"
-                );
-                continue;
-            }
+    /// Appends a mutation to those that are already packed. A mutation with a list that exceeds
+    /// the size limit is split.
+    ///
+    /// # Errors
+    ///
+    /// The mutation, or a part of it, can't be stored. Nothing is packed for that part.
+    pub fn add(&mut self, mutation: &Mutation) -> Result<(), UnstorableMutation> {
+        let unstorable = |bytes| UnstorableMutation {
+            kind: mutation.kind(),
+            bytes,
+        };
+        let text = serde_json::to_string(mutation).map_err(|_| unstorable(0))?;
+        if text.len() <= self.max_bytes {
             self.push(text);
+            return Ok(());
         }
+        let [first, second] = mutation.split().ok_or(unstorable(text.len()))?;
+        let first_added = self.add(&first);
+        let second_added = self.add(&second);
+        first_added.and(second_added)
     }
 
     fn push(&mut self, text: String) {
@@ -62,10 +75,16 @@
 }
 
 /// Packs mutations, in their order, into as few texts of at most `max_bytes` bytes as possible.
-pub fn pack(mutations: &[Mutation], max_bytes: usize) -> Vec<String> {
+///
+/// # Errors
+///
+/// The first mutation that can't be stored.
+pub fn pack(mutations: &[Mutation], max_bytes: usize) -> Result<Vec<String>, UnstorableMutation> {
     let mut packer = MutationPacker::new(max_bytes);
-    packer.extend(mutations);
-    packer.finish()
+    for mutation in mutations {
+        packer.add(mutation)?;
+    }
+    Ok(packer.finish())
 }
 
 /// The size of a packed mutation in bytes, without the comma that separates it from the
--- a/crates/state/src/codec/tests.rs
+++ b/crates/state/src/codec/tests.rs
@@ -15,7 +15,7 @@
     let mutations: Vec<Mutation> = (0..1000)
         .map(|n| started(&format!("j-{n:06}"), n, (0..20).collect()))
         .collect();
-    let packed = pack(&mutations, 16_000);
+    let packed = pack(&mutations, 16_000).unwrap();
     assert!(packed.iter().all(|p| p.len() <= 16_000));
     assert!(packed.len() <= 7, "{}", packed.len());
     let total: usize = packed
--- a/crates/state/src/mutation.rs
+++ b/crates/state/src/mutation.rs
@@ -16,6 +16,8 @@
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 use std::sync::Arc;
 
+mod split;
+
 /// One change of the cluster's state.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Mutation {
@@ -52,7 +54,9 @@
     /// Closes a rental and adds the machines that the cloud has provided for it.
     #[serde(rename = "M")]
     RentalFulfilled(RentalFulfilled),
-    /// In the log, adds a machine that belongs to no known rental; in a snapshot, any machine.
+    /// In the log, adds a machine that belongs to no known rental; in a snapshot, any machine. A
+    /// machine with a long list of images has several of these in a snapshot; all but the first
+    /// add images that were used less recently.
     #[serde(rename = "F")]
     MachineAdopted(MachineAdopted),
     /// Moves machines forward in their lifecycle.
@@ -93,9 +97,40 @@
     RestoreFailures(RestoreFailures),
 }
 
-/// The maximum length of a list in one mutation, so that the mutation fits in one value of
-/// the store. A longer list is split into several mutations (see [`in_batches`]), except the
-/// tasks of a gang, which are assigned by a single mutation.
+impl Mutation {
+    /// The name of the mutation's kind, for log lines and errors.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Mutation::Submit(_) => "Submit",
+            Mutation::Cancel(_) => "Cancel",
+            Mutation::Assign(_) => "Assign",
+            Mutation::Place(_) => "Place",
+            Mutation::Started(_) => "Started",
+            Mutation::Ended(_) => "Ended",
+            Mutation::Stop(_) => "Stop",
+            Mutation::Unassign(_) => "Unassign",
+            Mutation::RequestRental(_) => "RequestRental",
+            Mutation::RentalRefused(_) => "RentalRefused",
+            Mutation::RentalFulfilled(_) => "RentalFulfilled",
+            Mutation::MachineAdopted(_) => "MachineAdopted",
+            Mutation::SetLifecycle(_) => "SetLifecycle",
+            Mutation::MachinesDeleted(_) => "MachinesDeleted",
+            Mutation::MachinesReady(_) => "MachinesReady",
+            Mutation::ReclaimNotice(_) => "ReclaimNotice",
+            Mutation::MachinesUnreachable(_) => "MachinesUnreachable",
+            Mutation::MachinesReachable(_) => "MachinesReachable",
+            Mutation::RestoreFinished(_) => "RestoreFinished",
+            Mutation::RestoreTerminating(_) => "RestoreTerminating",
+            Mutation::RestoreCompleted(_) => "RestoreCompleted",
+            Mutation::RestoreTasks(_) => "RestoreTasks",
+            Mutation::RestoreFailures(_) => "RestoreFailures",
+        }
+    }
+}
+
+/// The maximum length of a list in one mutation. A longer list is split into several mutations
+/// (see [`in_batches`]), except the tasks of a gang, which are assigned by a single mutation. A
+/// list that still exceeds the size limit of a value is split again when it is packed.
 pub const MAX_BATCH: usize = 100;
 
 /// Splits a list into mutations of at most [`MAX_BATCH`] items each.
--- a/crates/state/tests/memory.rs
+++ b/crates/state/tests/memory.rs
@@ -105,7 +105,7 @@
 
 /// A snapshot of the state as the store would list it.
 fn listing(state: &ClusterState) -> Vec<KeyValue> {
-    let packed = codec::pack(&state.to_mutations(), 16_000);
+    let packed = codec::pack(&state.to_mutations(), 16_000).unwrap();
     let manifest = SnapshotManifest {
         revision: 9,
         generation: 1,
