--- a/crates/rushwalk/src/scheduling/maintenance.rs
+++ b/crates/rushwalk/src/scheduling/maintenance.rs
@@ -51,7 +51,7 @@
     unassigned: BTreeMap<JobAttempt, Vec<u32>>,
     /// The indexes of the tasks to stop.
     stopped: BTreeMap<StoppedAttempt, Vec<u32>>,
-    quarantined: Vec<MachineId>,
+    drained: Vec<MachineId>,
     deleted: Vec<MachineId>,
 }
 
@@ -81,9 +81,8 @@
             changes.deleted.push(id.clone());
             continue;
         }
-        if lifecycle == MachineLifecycle::Active && machine.failed_jobs.len() >= FAULTY_JOBS {
-            tracing::info!(machine = &**id, jobs = ?machine.failed_jobs, "machine quarantined");
-            changes.quarantined.push(id.clone());
+        if lifecycle == MachineLifecycle::Active && should_be_drained(id, machine) {
+            changes.drained.push(id.clone());
         }
         if lifecycle == MachineLifecycle::Draining {
             evict_tasks(state, machine, now_ms, &mut changes);
@@ -92,6 +91,20 @@
     changes.into_mutations()
 }
 
+/// Whether to drain a machine: it is faulty, or no task can be planned on it since its type is
+/// unknown.
+fn should_be_drained(id: &MachineId, machine: &MachineState) -> bool {
+    if !machine.record.has_known_type() {
+        tracing::info!(machine = &**id, "draining machine of unknown type");
+        return true;
+    }
+    let is_faulty = machine.failed_jobs.len() >= FAULTY_JOBS;
+    if is_faulty {
+        tracing::info!(machine = &**id, jobs = ?machine.failed_jobs, "machine quarantined");
+    }
+    is_faulty
+}
+
 /// Unassigns tasks that the owner of their shard has not placed in time, because it found no
 /// machine with room for them or has failed.
 fn unassign_stuck_tasks(
@@ -239,7 +252,7 @@
                 })
             }));
         }
-        mutations.extend(set_lifecycle(&self.quarantined, MachineLifecycle::Draining));
+        mutations.extend(set_lifecycle(&self.drained, MachineLifecycle::Draining));
         mutations.extend(set_lifecycle(&self.deleted, MachineLifecycle::Deleting));
         mutations
     }
--- a/crates/simulator/tests/cluster/snapshots.rs
+++ b/crates/simulator/tests/cluster/snapshots.rs
@@ -2,7 +2,10 @@
 //! a value of the store. A snapshot used to leave such a machine out.
 
 use rushwalk_simulator::{ClusterConfig, SimulatedCluster, inspect};
+use rushwalk_state::records::LogEntry;
+use rushwalk_state::{Mutation, codec};
 use serde_json::json;
+use serde_json::value::RawValue;
 
 /// The number of images that one machine's cache holds. Their names have 200 bytes each, so that
 /// the machine's record has some 50 KB.
@@ -51,6 +54,20 @@
     service
 }
 
+/// A chunk of a snapshot without the records of machines.
+fn without_machines(chunk: &RawValue) -> Box<RawValue> {
+    let LogEntry {
+        previous_version,
+        mut mutations,
+    } = codec::unframe(chunk).unwrap();
+    mutations.retain(|mutation| !matches!(mutation, Mutation::MachineAdopted(_)));
+    let texts: Vec<String> = mutations
+        .iter()
+        .map(|mutation| serde_json::to_string(mutation).unwrap())
+        .collect();
+    codec::frame(previous_version, &texts.join(",")).unwrap()
+}
+
 /// A controller that started from the snapshot did not know the machine, so placements there had
 /// no effect on its state. Once it owned the machine's shard, it started the tasks again on
 /// another machine while they ran.
@@ -87,3 +104,36 @@
     assert_eq!(machines.len(), 1, "the service is on no machine");
     cluster.assert_invariants();
 }
+
+/// An earlier version wrote a snapshot without the machine. Its tasks were never started again,
+/// nor did anyone end them. They must run on, or run again once the machine is surely gone.
+#[tokio::test(start_paused = true)]
+async fn tasks_of_a_machine_that_a_stored_snapshot_lacks_are_not_lost() {
+    let mut cluster = cluster(33);
+    let service = fill_the_cache_of_a_machine(&mut cluster).await;
+    let batch = cluster.submit(2, "sweep", 2, 1.0, 100.0).await;
+    let generation = snapshot_generation(&cluster);
+    let mut number = 30_000;
+    while snapshot_generation(&cluster) < generation + 2 {
+        number += 1;
+        assert!(number < 30_090, "fewer than two snapshots were written");
+        for task_number in [number, number + 100, number + 200] {
+            cluster.submit(task_number, "sweep", 1, 0.0, 1.0).await;
+        }
+        cluster.run_for(1).await;
+    }
+    let machines = cluster.platform.checker().machines_of(&service);
+    cluster.crash_all();
+    cluster
+        .platform
+        .rewrite_store("w/s/", |chunk| without_machines(chunk));
+    cluster.run_for(3).await;
+    cluster.start_all();
+    cluster.wait_until_done(&[batch], 300).await;
+    cluster.run_for(120).await;
+    // The service was moved, since no task can be planned on a machine of unknown type.
+    let machines_after = cluster.platform.checker().machines_of(&service);
+    assert_eq!(machines_after.len(), 1, "the service is on no machine");
+    assert_ne!(machines_after, machines);
+    cluster.assert_invariants();
+}
--- a/crates/state/src/cluster_state/restore.rs
+++ b/crates/state/src/cluster_state/restore.rs
@@ -6,7 +6,7 @@
     FinishedJob, MachineAdopted, Mutation, RequestRental, RestoreCompleted, RestoreFailures,
     RestoreFinished, RestoreTasks, RestoreTerminating, RestoredTask, SubmitJob, in_batches,
 };
-use crate::records::{FailureHistory, JobPhase};
+use crate::records::{FailureHistory, JobPhase, MachineRecord, TaskRecord};
 use rushwalk_protocol::ids::JobId;
 
 impl ClusterState {
@@ -86,10 +86,28 @@
 
     pub(super) fn restore_tasks(&mut self, restore: RestoreTasks) {
         for task in restore.tasks {
+            self.restore_machine_of(&task.record);
             self.add_task(&restore.job, task.task, task.record);
         }
     }
 
+    /// Adds the machine of a task if the snapshot lacks it. Earlier versions left a machine out if
+    /// its record exceeded the size limit of a value. Without the machine, later mutations of its
+    /// tasks would have no effect here, but on the controllers that know it.
+    fn restore_machine_of(&mut self, task: &TaskRecord) {
+        let Some(machine) = &task.machine else {
+            return;
+        };
+        if self.machines.contains_key(machine) {
+            return;
+        }
+        tracing::error!(
+            machine = &**machine,
+            "snapshot lacks a machine that has tasks; it will be replaced"
+        );
+        self.add_machine(machine.clone(), MachineRecord::of_unknown_type(task));
+    }
+
     pub(super) fn restore_failures(&mut self, restore: RestoreFailures) {
         if let Some(job) = self.jobs.get_mut(&restore.job) {
             job.failures = restore.failures;
--- a/crates/state/src/records.rs
+++ b/crates/state/src/records.rs
@@ -191,7 +191,7 @@
 /// The replicated record of a machine.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MachineRecord {
-    /// The name of the machine's type.
+    /// The name of the machine's type; see [`MachineRecord::has_known_type`].
     #[serde(rename = "k")]
     pub machine_type: Arc<str>,
     /// The zone of the machine.
@@ -254,6 +254,24 @@
             unreachable_since_ms: None,
         }
     }
+
+    /// The record of a machine of which only a task on it is known. Its type is empty.
+    pub fn of_unknown_type(task: &TaskRecord) -> MachineRecord {
+        let zone = task.shard.zone().into();
+        MachineRecord::rented(
+            "".into(),
+            zone,
+            false,
+            task.shard.clone(),
+            task.scheduled_ms,
+        )
+    }
+
+    /// Whether the machine's type is known. It is not if the machine was restored from a snapshot
+    /// that lacked its record.
+    pub fn has_known_type(&self) -> bool {
+        !self.machine_type.is_empty()
+    }
 }
 
 /// The replicated record of an assigned task. It exists from the assignment to a shard
--- a/crates/state/tests/size_limit.rs
+++ b/crates/state/tests/size_limit.rs
@@ -116,7 +116,12 @@
 /// The state that a controller restores from a snapshot of `state`, whose values have at most
 /// `max_bytes` bytes.
 fn restored(state: &ClusterState, max_bytes: usize) -> ClusterState {
-    let packed = codec::pack(&state.to_mutations(), max_bytes).unwrap();
+    restored_from(&state.to_mutations(), max_bytes)
+}
+
+/// The state that a controller restores from a snapshot with these mutations.
+fn restored_from(mutations: &[Mutation], max_bytes: usize) -> ClusterState {
+    let packed = codec::pack(mutations, max_bytes).unwrap();
     let too_large = packed.iter().find(|text| text.len() > max_bytes);
     assert_eq!(too_large, None);
     let manifest = SnapshotManifest {
@@ -193,6 +198,28 @@
     );
 }
 
+/// A previous version wrote snapshots without a machine that had tasks. Mutations of tasks there
+/// must have the same effect as on a controller that knows the machine, or the two act on
+/// different states.
+#[test]
+fn tasks_are_placed_on_a_machine_that_a_stored_snapshot_lacks() {
+    let mut complete = empty_state();
+    complete.apply(adopt("m-1", Vec::new()), 1, READ_MS);
+    submit(&mut complete, spec("j-000001", "standing", 1, "img-07"));
+    start(&mut complete, "j-000001", 2, "m-1", &[0]);
+    let mut mutations = complete.to_mutations();
+    mutations.retain(|mutation| !matches!(mutation, Mutation::MachineAdopted(_)));
+    let mut restored = restored_from(&mutations, SITE_VALUE_BYTES);
+    for state in [&mut complete, &mut restored] {
+        submit(state, spec("j-000002", "sweep", 1, "img-07"));
+        start(state, "j-000002", 5_000, "m-1", &[0]);
+        assert_eq!(state.machines["m-1"].tasks.len(), 2);
+        assert!(state.unplaced.is_empty());
+    }
+    assert!(complete.machines["m-1"].record.has_known_type());
+    assert!(!restored.machines["m-1"].record.has_known_type());
+}
+
 /// A previous version stored records with any number of images in the log's order, and reads
 /// only the first mutation of a machine. That one must contain the images used last.
 #[test]
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -24,6 +24,7 @@
 use network::NamedEndpoint;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
+use rushwalk_protocol::store::Value;
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -176,6 +177,11 @@
         page.entries.iter().any(|entry| entry.key == key)
     }
 
+    /// Replaces stored values, see [`Store::rewrite`].
+    pub fn rewrite_store(&self, prefix: &str, new_value: impl Fn(&Value) -> Value) {
+        lock(&self.store).rewrite(prefix, new_value);
+    }
+
     /// Delays the next commit whose body contains `text`: it is processed after `delay`, thus
     /// after commits that were sent later, and its response is lost.
     pub fn delay_next_commit(&self, text: &str, delay: Duration) {
--- a/crates/testkit/src/store.rs
+++ b/crates/testkit/src/store.rs
@@ -162,6 +162,16 @@
         });
     }
 
+    /// Replaces the values of all keys that start with `prefix`, without a change of a version, as
+    /// if they had been written like this. For data that only an earlier version wrote.
+    pub fn rewrite(&mut self, prefix: &str, new_value: impl Fn(&Value) -> Value) {
+        for (key, entry) in &mut self.entries {
+            if key.starts_with(prefix) {
+                entry.value = new_value(&entry.value);
+            }
+        }
+    }
+
     /// All keys that start with `prefix` and sort after `after`, with their values, in one page.
     pub fn list(&self, prefix: &str, after: &str) -> KeyValuePage {
         let entries = self
