--- a/crates/rushwalk/src/leadership/snapshot_writer.rs
+++ b/crates/rushwalk/src/leadership/snapshot_writer.rs
@@ -147,13 +147,16 @@
     }
 
     async fn write_chunks(&self, draft: &Draft, chunks: &[String]) -> ChunkOutcome {
+        let max_writes = self.context.settings.site.store.txn_ops;
         let mut chunks = chunks.iter().enumerate().peekable();
         while chunks.peek().is_some() {
             let mut transaction = draft.leader.transaction();
             let mut bytes = 0;
-            while let Some((index, text)) = chunks.next_if(|(_, text)| {
-                bytes == 0 || bytes + text.len() <= MAX_CHUNK_BYTES_PER_TRANSACTION
-            }) {
+            while transaction.writes.len() < max_writes
+                && let Some((index, text)) = chunks.next_if(|(_, text)| {
+                    bytes == 0 || bytes + text.len() <= MAX_CHUNK_BYTES_PER_TRANSACTION
+                })
+            {
                 bytes += text.len();
                 transaction.writes.push(Write {
                     put: Some(keys::snapshot_chunk(draft.manifest.generation, index)),
--- a/crates/simulator/src/cluster.rs
+++ b/crates/simulator/src/cluster.rs
@@ -16,6 +16,7 @@
 use rushwalk_protocol::jobs::JobSpec;
 use rushwalk_protocol::settings::{PeerSettings, Settings, Team};
 use rushwalk_testkit::platform::{ControllerTransport, Endpoint, HttpResponse};
+use rushwalk_testkit::store::TransactionLimits;
 use rushwalk_testkit::{Fault, SimulatedPlatform, TeamLimit, ZONES};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -74,8 +75,7 @@
     /// Limit on requests to the cloud in the controllers' settings, per second. The simulated
     /// cloud does not enforce it.
     pub cloud_rps: f64,
-    /// Limit on the size of a value in the store in the controllers' settings, in KB. The
-    /// simulated store does not enforce it.
+    /// Limit on the size of a value in the store, in KB.
     pub value_kb: f64,
     /// Number of the latest changes that the store retains; 0 means all. A watch that begins
     /// before them gets status 410, so that the controller has to list the store.
@@ -151,6 +151,11 @@
             jobs: BTreeMap::new(),
             config,
         };
+        let store = cluster.settings(0).site.store;
+        cluster.platform.limit_transactions(TransactionLimits {
+            max_writes: store.txn_ops,
+            max_value_bytes: (store.value_kb * 1024.0) as usize,
+        });
         cluster.start_all();
         cluster
     }
--- a/crates/simulator/tests/cluster/snapshots.rs
+++ b/crates/simulator/tests/cluster/snapshots.rs
@@ -17,9 +17,14 @@
 /// The simulated cluster, whose store has values of 16 KB and whose snapshots are due after few
 /// log entries.
 fn cluster(seed: u64) -> SimulatedCluster {
+    cluster_with_values_of(16.0, seed)
+}
+
+/// A cluster whose store has values of `value_kb` KB.
+fn cluster_with_values_of(value_kb: f64, seed: u64) -> SimulatedCluster {
     let config = ClusterConfig {
         write_rps: 10.0,
-        value_kb: 16.0,
+        value_kb,
         ..ClusterConfig::default()
     };
     SimulatedCluster::with_config(config, seed)
@@ -137,3 +142,17 @@
     assert_ne!(machines_after, machines);
     cluster.assert_invariants();
 }
+
+/// With small values, the chunks that one transaction wrote exceeded its limit on puts. The store
+/// refused it each time, so no snapshot was ever finished and the log grew.
+#[tokio::test(start_paused = true)]
+async fn a_snapshot_of_many_small_chunks_is_written() {
+    let mut cluster = cluster_with_values_of(1.0, 34);
+    let service = fill_the_cache_of_a_machine(&mut cluster).await;
+    cluster.crash_all();
+    cluster.run_for(3).await;
+    cluster.start_all();
+    cluster.run_for(90).await;
+    assert_eq!(cluster.job_status(&service).await.running, 1);
+    cluster.assert_invariants();
+}
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -18,7 +18,7 @@
 use crate::invariants::InvariantChecker;
 use crate::lock;
 use crate::machine_type::{DEFAULT_MACHINE_TYPE, MachineType};
-use crate::store::Store;
+use crate::store::{Store, TransactionLimits};
 use crate::worker::Worker;
 use event_log::EventLog;
 use network::NamedEndpoint;
@@ -166,6 +166,12 @@
         lock(&self.store).retained_changes = changes;
     }
 
+    /// Sets the store's limits on a transaction. A transaction that exceeds them is refused and
+    /// reported as a violation.
+    pub fn limit_transactions(&self, limits: TransactionLimits) {
+        lock(&self.store).limits = Some(limits);
+    }
+
     /// Number of puts and deletions sent to the store so far, see [`Store::write_count`].
     pub fn write_count(&self) -> usize {
         lock(&self.store).write_count
--- a/crates/testkit/src/platform/store_service.rs
+++ b/crates/testkit/src/platform/store_service.rs
@@ -112,6 +112,9 @@
         let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else {
             return HttpResponse::empty(400);
         };
+        if self.exceeds_limit(controller, &transaction, body.len()) {
+            return HttpResponse::empty(400);
+        }
         let delay = self.commit_delay(body);
         if let Some(delay) = delay {
             sleep(delay).await;
@@ -142,6 +145,18 @@
         }
     }
 
+    /// Whether a transaction exceeds a limit of the store; reported as a violation.
+    fn exceeds_limit(&self, controller: usize, transaction: &Transaction, bytes: usize) -> bool {
+        let limits = lock(&self.store).limits;
+        let Some(limit) = limits.and_then(|limits| limits.exceeded_by(transaction, bytes)) else {
+            return false;
+        };
+        let keys: Vec<_> = transaction.writes.iter().flat_map(|w| &w.put).collect();
+        let violation = format!("store_limit: {limit} ({bytes} bytes, {controller}, {keys:?})");
+        self.checker().violations.push(violation);
+        true
+    }
+
     /// The delay of a commit: one that a test requested, otherwise a random one if a fault that
     /// delays commits is active and selects this commit; `None` if the commit is not delayed.
     fn commit_delay(&self, body: &[u8]) -> Option<Duration> {
--- a/crates/testkit/src/store.rs
+++ b/crates/testkit/src/store.rs
@@ -27,6 +27,41 @@
     }
 }
 
+/// The store's limits on a transaction, which are in the controllers' settings.
+#[derive(Debug, Clone, Copy)]
+pub struct TransactionLimits {
+    /// Maximum number of puts and deletions. Four times as many conditions are allowed.
+    pub max_writes: usize,
+    /// Maximum size of a value in bytes.
+    pub max_value_bytes: usize,
+}
+
+/// Maximum size of a transaction in bytes.
+const MAX_TRANSACTION_BYTES: usize = 64 << 10;
+
+/// How many times more conditions than puts and deletions a transaction may have.
+const CONDITIONS_PER_WRITE: usize = 4;
+
+impl TransactionLimits {
+    /// The limit that a transaction exceeds; `None` if it is within all limits. `bytes` is the size
+    /// of the request.
+    pub fn exceeded_by(&self, transaction: &Transaction, bytes: usize) -> Option<&'static str> {
+        let values = transaction.writes.iter().flat_map(|write| &write.value);
+        let largest_value = values.map(|value| value.get().len()).max().unwrap_or(0);
+        if transaction.writes.len() > self.max_writes {
+            Some("writes")
+        } else if transaction.conditions.len() > CONDITIONS_PER_WRITE * self.max_writes {
+            Some("conditions")
+        } else if largest_value > self.max_value_bytes {
+            Some("size of a value")
+        } else if bytes > MAX_TRANSACTION_BYTES {
+            Some("size of the transaction")
+        } else {
+            None
+        }
+    }
+}
+
 struct StoredValue {
     value: Value,
     /// The store's revision when the key was last put.
@@ -64,6 +99,8 @@
     pub write_count: usize,
     /// Number of the latest changes (puts and deletions) that watches can read; 0 means all.
     pub retained_changes: usize,
+    /// Limits on a transaction; `None` if there are none.
+    pub limits: Option<TransactionLimits>,
     entries: BTreeMap<String, StoredValue>,
     events: Vec<WatchEvent>,
     leases: HashMap<u64, Lease>,
