Machine records: limit the list of images, which grew without bound

What callers saw: nothing yet. The list of images of a machine's record is limited only by the cache's capacity in GB, and an image may take 0 GB.

Change: the list holds at most 4 KiB of names, those of the images used last (26 of 136 characters, 186 as short as img-07). Lists that an earlier version stored are shortened when they are read. The list serves predictions only, so a mixed set of controllers may have different ones.

Related and left: ClusterState::image_ids numbers every image name that was ever submitted, and finished jobs are kept for good; both grow with the number of jobs, not with each machine.

--- a/crates/simulator/tests/cluster/snapshots.rs
+++ b/crates/simulator/tests/cluster/snapshots.rs
@@ -1,5 +1,5 @@
-//! Restarts of controllers from a snapshot with a machine whose record exceeds the size limit of
-//! a value of the store. A snapshot used to leave such a machine out.
+//! Restarts of controllers from a snapshot after a machine has run tasks with many images. The
+//! machine's record exceeded the size limit of a value of the store, and the snapshot lacked it.
 
 use rushwalk_simulator::{ClusterConfig, SimulatedCluster, inspect};
 use rushwalk_state::records::LogEntry;
@@ -8,7 +8,7 @@
 use serde_json::value::RawValue;
 
 /// The number of images that one machine's cache holds. Their names have 200 bytes each, so that
-/// the machine's record has some 50 KB.
+/// all of them together exceed the size limit of a value.
 const IMAGES: u32 = 240;
 
 /// The number of the service that keeps the machine in use.
--- a/crates/state/src/cluster_state.rs
+++ b/crates/state/src/cluster_state.rs
@@ -9,6 +9,7 @@
 //! committer must check the result in this state.
 
 mod apply;
+mod image_cache;
 mod jobs;
 mod machines;
 mod queries;
--- a/crates/state/src/cluster_state/machines.rs
+++ b/crates/state/src/cluster_state/machines.rs
@@ -1,10 +1,10 @@
 //! The lifecycle of machines: rented, ready, unreachable, reclaimed, deleted.
 
-use super::{ClusterState, MachineState, ShardCounts};
+use super::{ClusterState, MachineState, ShardCounts, image_cache};
 use crate::mutation::{
     MachinesReady, MachinesUnreachable, ReclaimNotice, RentalFulfilled, SetLifecycle,
 };
-use crate::records::{CachedImage, MachineLifecycle, MachineRecord};
+use crate::records::{MachineLifecycle, MachineRecord};
 use rushwalk_protocol::ids::MachineId;
 use rushwalk_scheduler::durations::RollingMean;
 use rushwalk_scheduler::timeline::ImageId;
@@ -32,7 +32,8 @@
 }
 
 impl MachineState {
-    fn new(record: MachineRecord) -> MachineState {
+    fn new(mut record: MachineRecord) -> MachineState {
+        image_cache::limit_length(&mut record.images);
         MachineState {
             record,
             tasks: BTreeSet::new(),
@@ -43,12 +44,6 @@
         }
     }
 
-    /// Adds images that were used less recently than those of the record.
-    fn add_older_images(&mut self, mut older: Vec<CachedImage>) {
-        older.append(&mut self.record.images);
-        self.record.images = older;
-    }
-
     /// Updates the IDs of the images in the machine's cache; new images get the next IDs.
     pub(super) fn intern_images(&mut self, image_ids: &mut HashMap<Arc<str>, ImageId>) {
         let images = self.record.images.iter();
@@ -80,7 +75,7 @@
     /// recently used ones: in a snapshot, several mutations may describe one machine.
     pub(super) fn add_machine(&mut self, id: MachineId, record: MachineRecord) {
         if let Some(machine) = self.machines.get_mut(&id) {
-            machine.add_older_images(record.images);
+            image_cache::add_older(&mut machine.record.images, record.images);
             machine.intern_images(&mut self.image_ids);
             return;
         }
--- a/crates/state/src/cluster_state/tasks.rs
+++ b/crates/state/src/cluster_state/tasks.rs
@@ -1,13 +1,11 @@
 //! The lifecycle of tasks: assigned to a shard, placed on a machine, running, stopped,
 //! ended.
 
-use super::{ClusterState, MachineState, TaskState};
+use super::{ClusterState, TaskState, image_cache};
 use crate::mutation::{
     AssignTasks, PlaceTasks, StopTasks, TaskOnMachine, TasksEnded, TasksStarted, UnassignTasks,
 };
-use crate::records::{
-    AttemptOutcome, CachedImage, JobPhase, MachineLifecycle, MachineTypes, StopReason, TaskRecord,
-};
+use crate::records::{AttemptOutcome, JobPhase, MachineLifecycle, StopReason, TaskRecord};
 use crate::{Revision, UnixMillis};
 use rushwalk_protocol::ids::{JobId, MachineId, TaskId};
 use rushwalk_protocol::jobs::{JobSpec, Shape};
@@ -241,7 +239,10 @@
             self.durations
                 .record_start(machine_type, spec.image_gb, cold_start, start_s);
         }
-        cache_image(machine, &spec, self.machine_types.as_deref());
+        let types = self.machine_types.as_deref();
+        let machine_type = types.and_then(|types| types.get(&machine.record.machine_type));
+        let capacity_gb = machine_type.map_or(0.0, |machine_type| machine_type.cache_gb);
+        image_cache::record_use(&mut machine.record.images, &spec, capacity_gb);
         machine.intern_images(&mut self.image_ids);
     }
 
@@ -342,22 +343,3 @@
         self.retire_if_finished(&unassign.job);
     }
 }
-
-/// Adds a job's image to the images that a machine's cache is expected to hold. Evicts the
-/// least recently used images while the cache's capacity is exceeded, but never the new one.
-fn cache_image(machine: &mut MachineState, spec: &JobSpec, types: Option<&MachineTypes>) {
-    let types = types.iter().flat_map(|types| &types.types);
-    let capacity_gb = types
-        .filter(|t| *t.name == *machine.record.machine_type)
-        .map(|t| t.cache_gb)
-        .fold(0.0, f64::max);
-    let images = &mut machine.record.images;
-    images.retain(|image| *image.name != *spec.image);
-    images.push(CachedImage {
-        name: spec.image.as_str().into(),
-        size_gb: spec.image_gb,
-    });
-    while images.len() > 1 && images.iter().map(|image| image.size_gb).sum::<f64>() > capacity_gb {
-        images.remove(0);
-    }
-}
--- a/crates/state/tests/size_limit.rs
+++ b/crates/state/tests/size_limit.rs
@@ -22,6 +22,9 @@
 /// The size limit of a value in the settings of a real site, less the frame, in bytes.
 const SITE_VALUE_BYTES: usize = (16 << 10) - 64;
 
+/// A size limit of a value that a machine's list of images exceeds, in bytes.
+const SMALL_VALUE_BYTES: usize = 1_500;
+
 fn image_name(number: usize) -> String {
     format!("registry.example/batch/scan-{number:04}@sha256:{number:064x}")
 }
@@ -182,14 +185,16 @@
         start(&mut state, &id, attempt, "m-1", &[0]);
         complete(&mut state, &id, attempt, &[0]);
     }
+    let mut split = restored(&state, SMALL_VALUE_BYTES);
     let mut restored = restored(&state, SITE_VALUE_BYTES);
-    assert_equal(&restored, &state);
-    // A placement takes effect on both.
-    for state in [&mut state, &mut restored] {
+    assert_equal(&split, &state);
+    // A placement takes effect on all.
+    for state in [&mut state, &mut restored, &mut split] {
         submit(state, spec("j-001000", "sweep", 1, "img-07"));
         start(state, "j-001000", 5_000, "m-1", &[0]);
     }
     assert_equal(&restored, &state);
+    assert_equal(&split, &state);
     let machine = &restored.machines["m-1"];
     assert_eq!(machine.tasks.len(), 2);
     assert_eq!(
@@ -198,6 +203,37 @@
     );
 }
 
+/// Images that take no space were never evicted from the list, so that a machine's record, each
+/// snapshot and the memory of each controller grew with every image that ran there.
+#[test]
+fn the_images_of_a_machine_are_limited_in_number() {
+    let mut state = empty_state();
+    state.apply(adopt("m-1", Vec::new()), 1, READ_MS);
+    for number in 0..2_000 {
+        let id = format!("j-{number:06}");
+        let attempt = 10 + 4 * number as u64;
+        let mut spec = JobSpec::clone(&spec(&id, "sweep", 1, &image_name(number)));
+        spec.image_gb = 0.0;
+        submit(&mut state, Arc::new(spec));
+        start(&mut state, &id, attempt, "m-1", &[0]);
+        complete(&mut state, &id, attempt, &[0]);
+    }
+    let record = &state.machines["m-1"].record;
+    let last = record.images.last().unwrap();
+    assert_eq!(*last.name, *image_name(1_999));
+    let bytes = serde_json::to_string(record).unwrap().len();
+    assert!(bytes < 5 << 10, "{bytes}");
+    // Records that earlier versions stored are limited when they are read.
+    let images = (0..300).map(|number| CachedImage {
+        name: image_name(number).into(),
+        size_gb: 0.0,
+    });
+    state.apply(adopt("m-2", images.collect()), 9_000, READ_MS);
+    let images = &state.machines["m-2"].record.images;
+    assert!((2..300).contains(&images.len()));
+    assert_eq!(*images.last().unwrap().name, *image_name(299));
+}
+
 /// A previous version wrote snapshots without a machine that had tasks. Mutations of tasks there
 /// must have the same effect as on a controller that knows the machine, or the two act on
 /// different states.
@@ -258,32 +294,35 @@
 /// any size limit of a value that their parts fit into.
 fn any_state() -> impl Strategy<Value = (ClusterState, usize)> {
     let sizes = (1_u32..400, 1_usize..150, 1_usize..120, 1_u32..4_000);
-    (sizes, 1_500_usize..20_000).prop_map(|((tasks, images, name_length, done), max_bytes)| {
-        let mut state = empty_state();
-        let machine = format!("i-{}", "m".repeat(name_length));
-        let images = (0..images).map(|number| CachedImage {
-            name: format!("{number}-{}", "k".repeat(name_length)).into(),
-            size_gb: 0.0,
-        });
-        state.apply(adopt(&machine, images.collect()), 1, READ_MS);
-        let mut next_revision = 2;
-        for (id, tasks, is_completed) in [("j-000001", tasks, false), ("j-000002", done, true)] {
-            submit(&mut state, spec(id, "sweep", tasks + 1, "img-07"));
-            let indexes: Vec<u32> = (0..tasks).collect();
-            start(&mut state, id, next_revision, &machine, &indexes);
-            if is_completed {
-                complete(&mut state, id, next_revision, &indexes);
+    (sizes, SMALL_VALUE_BYTES..20_000).prop_map(
+        |((tasks, images, name_length, done), max_bytes)| {
+            let mut state = empty_state();
+            let machine = format!("i-{}", "m".repeat(name_length));
+            let images = (0..images).map(|number| CachedImage {
+                name: format!("{number}-{}", "k".repeat(name_length)).into(),
+                size_gb: 0.0,
+            });
+            state.apply(adopt(&machine, images.collect()), 1, READ_MS);
+            let mut next_revision = 2;
+            for (id, tasks, is_completed) in [("j-000001", tasks, false), ("j-000002", done, true)]
+            {
+                submit(&mut state, spec(id, "sweep", tasks + 1, "img-07"));
+                let indexes: Vec<u32> = (0..tasks).collect();
+                start(&mut state, id, next_revision, &machine, &indexes);
+                if is_completed {
+                    complete(&mut state, id, next_revision, &indexes);
+                }
+                next_revision += 4;
             }
-            next_revision += 4;
-        }
-        for number in 0..tasks {
-            let id = format!("j-1{number:05}");
-            submit(&mut state, spec(&id, "sweep", 1, "img-07"));
-            let cancel = Mutation::Cancel(id.as_str().into());
-            state.apply(cancel, next_revision, READ_MS);
-        }
-        (state, max_bytes)
-    })
+            for number in 0..tasks {
+                let id = format!("j-1{number:05}");
+                submit(&mut state, spec(&id, "sweep", 1, "img-07"));
+                let cancel = Mutation::Cancel(id.as_str().into());
+                state.apply(cancel, next_revision, READ_MS);
+            }
+            (state, max_bytes)
+        },
+    )
 }
 
 proptest! {
