Gangs: count a gang against its team's limit only once it is planned

Cause: SchedulingRound::schedule_gang added the gang's tasks to the usage of its team before it looked for machines, and returned NoCapacity or, for a single probe, FailsEverywhere without taking them off again. Jobs that are planned later in the round found the limit reached, in every round.

Evidence: in the case all controllers answer "queued" for 90 s and the leader's pending reason for the array is the team's limit; a round with one gang and one array shows it without any other part.

Change: the tasks are counted after plan() has found a place for all of them. A gang that starts, or that waits for machines which it will get, counts as before.

Looked at for the same: schedule_each counts planned tasks only; plan_rental counts after its only failure; undo() gives planned rentals back; the queue's is_within_guarantee counts waiting jobs by the definition of the protocol; the write budget and the admission of users count what was sent.

Tests, which failed before: a_gang_without_machines_leaves_the_limit_of_its_team_to_others (0 of 2 tasks placed), a_gang_that_can_not_start_does_not_hold_up_other_jobs_of_its_team (queued after 90 s). a_planned_gang_counts_against_the_limit_of_its_team holds before and after.

--- a/crates/scheduler/src/round/gang.rs
+++ b/crates/scheduler/src/round/gang.rs
@@ -1,7 +1,10 @@
 //! Gang scheduling: either all tasks of a job start at the same time or none does.
 
+#[cfg(test)]
+mod tests;
+
 use super::trial::PlanScope;
-use super::{PendingJob, PendingReason, SchedulingDecisions, SchedulingRound};
+use super::{MachineChoice, PendingJob, PendingReason, SchedulingDecisions, SchedulingRound};
 
 /// The result of a trial plan for a gang within one scope.
 struct GangOption {
@@ -45,11 +48,9 @@
         if self.usage.tasks_within_limit(team, job.resources, count) < count {
             return Some(PendingReason::TeamLimitReached);
         }
-        for _ in 0..count {
-            self.usage.add(&job.spec.team, job.resources);
-        }
         if let Some(scope) = self.earliest_scope(job, true) {
             let choices = self.plan(job, count, scope);
+            self.count_gang_against_limit(job, &choices);
             for (task, choice) in job.tasks.iter().zip(choices) {
                 decisions.place(job, *task, choice.machine);
             }
@@ -60,12 +61,18 @@
         }
         // Reserve capacity for the gang, so that missing machines are rented and later jobs
         // don't take the machines that the gang waits for. It starts once all are free.
-        match self.earliest_scope(job, false) {
-            Some(scope) => {
-                self.plan(job, count, scope);
-                Some(PendingReason::GangNotReady)
-            }
-            None => Some(PendingReason::NoCapacity),
+        let Some(scope) = self.earliest_scope(job, false) else {
+            return Some(PendingReason::NoCapacity);
+        };
+        let choices = self.plan(job, count, scope);
+        self.count_gang_against_limit(job, &choices);
+        Some(PendingReason::GangNotReady)
+    }
+
+    /// Counts all tasks of a planned gang against the limit of its team.
+    fn count_gang_against_limit(&mut self, job: &PendingJob, choices: &[MachineChoice]) {
+        for _ in choices {
+            self.usage.add(&job.spec.team, job.resources);
         }
     }
 
--- a/crates/scheduler/src/round/tests.rs
+++ b/crates/scheduler/src/round/tests.rs
@@ -6,7 +6,7 @@
 use rushwalk_protocol::cloud::MachineType;
 use rushwalk_protocol::jobs::JobSpec;
 
-fn machine_types() -> Vec<MachineType> {
+pub(super) fn machine_types() -> Vec<MachineType> {
     let machine_type = |name: &str, cpus: f64, price: f64| MachineType {
         name: name.into(),
         cpus,
@@ -35,7 +35,7 @@
     }
 }
 
-fn pending_job(number: u32, gpus: f64, run_s: f64, spread: bool) -> PendingJob {
+pub(super) fn pending_job(number: u32, gpus: f64, run_s: f64, spread: bool) -> PendingJob {
     let text = format!(
         r#"{{"uid":"j-{number}","lane":"a","crew":"red","shape":"sweep","rank":"normal",
         "pieces":40,"cpus":{gpus},"gpus":{gpus},"memoryGb":1,"kit":"i-{}","sizeGb":4,
@@ -68,7 +68,7 @@
 
 /// A round with 40 machines with random types, zones, tasks and images. `seed` is the state of
 /// the random generator, which is advanced.
-fn random_round<'a>(teams: &'a [Team], seed: &mut u64) -> SchedulingRound<'a> {
+pub(super) fn random_round<'a>(teams: &'a [Team], seed: &mut u64) -> SchedulingRound<'a> {
     let mut random = move |n: u64| {
         *seed = seed.wrapping_mul(6364136223846793005).wrapping_add(1);
         (*seed >> 33) % n
--- a/crates/simulator/tests/cluster/scheduling.rs
+++ b/crates/simulator/tests/cluster/scheduling.rs
@@ -1,7 +1,9 @@
 //! Scale-out, and retries of failing tasks.
 
+use rushwalk_simulator::cluster::TeamQuota;
 use rushwalk_simulator::{ClusterConfig, SimulatedCluster};
-use rushwalk_testkit::Fault;
+use rushwalk_testkit::{Fault, ZONES};
+use serde_json::json;
 
 /// When rental requests for exhausted zones were sent before those for zones with capacity, three
 /// of four requests were refused at twice the usual fleet size, and machines were minutes late.
@@ -104,3 +106,31 @@
     );
     cluster.assert_invariants();
 }
+
+/// A gang for which the cloud had too few machines was counted against its team's limit while it
+/// waited. No other job of the team started, though the team used nothing of its limit.
+#[tokio::test(start_paused = true)]
+async fn a_gang_that_can_not_start_does_not_hold_up_other_jobs_of_its_team() {
+    let teams = [("red", 4.0), ("blue", 0.0)];
+    let config = ClusterConfig {
+        teams: teams.map(|(team, gpus)| TeamQuota { team, gpus }).to_vec(),
+        ..ClusterConfig::default()
+    };
+    let mut cluster = SimulatedCluster::warmed_up(config, 15).await;
+    for (number, zone) in ZONES.into_iter().enumerate() {
+        cluster.platform.limit_zone(zone, 1);
+        // A service of another team keeps the only machine of each zone.
+        let fields = json!({"crew": "blue", "yard": zone});
+        let service = cluster.submit_with(number as u32 + 1, "standing", 1, 0.0, 0.0, fields);
+        service.await;
+    }
+    cluster.run_for(30).await;
+    // Two tasks with ten CPUs each don't fit on one machine.
+    let fields = json!({"cpus": 10.0, "together": true, "rank": "urgent"});
+    let gang = cluster.submit_with(10, "gang", 2, 2.0, 8.0, fields).await;
+    cluster.run_for(3).await;
+    let array = cluster.submit(11, "sweep", 2, 1.0, 8.0).await;
+    cluster.wait_until_done(&[array], 90).await;
+    assert_eq!(cluster.job_status(&gang).await.running, 0);
+    cluster.assert_invariants();
+}
