Planner: a task planned for much later reserves nothing of its team's limit

A gang that waits an hour for a busy machine, or an array with more tasks than places, was counted against its team's limit with everything that was planned for later. Other jobs of the team got "its team's limit is reached" for that time, though the team used little of it and other machines had room.

Cause: the limit of a round counted tasks that start now and tasks that are planned for any later time alike. A machine's timeline lets other jobs use it until then; a team's limit did not.

Change: a planned task counts only if it starts within 60 s, less than the 90 s for which a job may wait while a machine has room and its team is under its limit. Tasks that are assigned, and those that start in the round, always count, so that the limit itself holds as before.

What it costs: a gang that starts later than that may find its team's limit taken by then, and waits for it.

--- a/crates/scheduler/src/round.rs
+++ b/crates/scheduler/src/round.rs
@@ -29,6 +29,10 @@
 pub use trial::MachineSnapshot;
 use trial::PlanScope;
 
+/// A planned task that starts later than this reserves nothing of its team's limit, in seconds. A
+/// job may wait for at most 90 s while a machine has room and its team is below its limit.
+const MAX_LIMIT_RESERVATION_S: f64 = 60.0;
+
 /// The state of a scheduling round: the machines with the tasks planned on them, and the
 /// machines that may be rented. Times are in seconds since the Unix epoch.
 pub struct SchedulingRound<'a> {
@@ -46,7 +50,8 @@
     pub rentable: Vec<RentableCapacity>,
     /// The teams from the settings, with their limits and guarantees.
     pub teams: &'a [Team],
-    /// Resources in use per team, including the tasks planned in this round.
+    /// Resources in use per team, including the tasks that are planned in this round to start
+    /// within a minute.
     pub usage: QuotaUsage,
     /// Predicted finishes are sorted into buckets of this many seconds. Finishes in the same
     /// bucket count as equal; then the cheaper and fuller machine is preferred.
@@ -98,7 +103,7 @@
         let planned = self.plan(job, allowed, scope);
         let mut reason = None;
         for (task, choice) in job.tasks.iter().zip(&planned) {
-            self.usage.add(&job.spec.team, job.resources);
+            self.count_against_limit(job, choice.finish.start_s);
             if self.can_start_now(choice) {
                 decisions.place(job, *task, choice.machine);
             } else {
@@ -114,6 +119,14 @@
         }
     }
 
+    /// Counts a planned task against the limit of its team in this round, unless it starts so late
+    /// that other jobs of the team should not wait for it.
+    fn count_against_limit(&mut self, job: &PendingJob, start_s: f64) {
+        if start_s <= self.planned_time_s + MAX_LIMIT_RESERVATION_S {
+            self.usage.add(&job.spec.team, job.resources);
+        }
+    }
+
     /// The team of a job; `None` if it is not in the settings.
     fn team_of(&self, job: &PendingJob) -> Option<&'a Team> {
         self.teams.iter().find(|team| team.name == job.spec.team)
--- a/crates/scheduler/src/round/gang.rs
+++ b/crates/scheduler/src/round/gang.rs
@@ -69,10 +69,13 @@
         Some(PendingReason::GangNotReady)
     }
 
-    /// Counts all tasks of a planned gang against the limit of its team.
+    /// Counts all tasks of a planned gang against the limit of its team. They start when the last
+    /// of them can.
     fn count_gang_against_limit(&mut self, job: &PendingJob, choices: &[MachineChoice]) {
+        let starts = choices.iter().map(|choice| choice.finish.start_s);
+        let start_s = starts.fold(0.0, f64::max);
         for _ in choices {
-            self.usage.add(&job.spec.team, job.resources);
+            self.count_against_limit(job, start_s);
         }
     }
 
--- a/crates/scheduler/src/round/gang/tests.rs
+++ b/crates/scheduler/src/round/gang/tests.rs
@@ -112,3 +112,22 @@
         assert_eq!(reason, Some(&PendingReason::TeamLimitReached), "{busy_s}");
     }
 }
+
+/// A gang that waited for a machine on which a task ran for much longer held up all other jobs of
+/// its team for that time.
+#[test]
+fn a_gang_that_starts_much_later_leaves_the_limit_of_its_team_to_others() {
+    let teams = team_with_four_gpus();
+    let small = machine_types().swap_remove(0);
+    let mut round = round_with(&teams, &vec![small; 3]);
+    occupy(&mut round, 1, 2.0, 3_600.0);
+    occupy(&mut round, 2, 1.0, 7_200.0);
+    let (gang, mut array) = (gang_of_two(1), array_of_two(2));
+    array.tasks = vec![0];
+    let decisions = round.schedule(&[gang.clone(), array.clone()]);
+    assert_eq!(
+        decisions.pending_reasons.get(&gang.spec.id),
+        Some(&PendingReason::GangNotReady)
+    );
+    assert_eq!(decisions.pending_reasons.get(&array.spec.id), None);
+}
--- a/crates/scheduler/src/round/tests.rs
+++ b/crates/scheduler/src/round/tests.rs
@@ -193,6 +193,40 @@
     }
 }
 
+/// An array with more tasks than places was counted against its team's limit with all tasks that
+/// were planned for hours later, so that no other job of the team started.
+#[test]
+fn tasks_that_start_much_later_leave_the_limit_of_their_team_to_others() {
+    let teams = [Team {
+        gpus_max: 10.0,
+        ..unlimited_team()
+    }];
+    let types = machine_types();
+    let mut round = random_round(&teams, &mut 3);
+    round.machines = TimelineIndex::new(100.0, 2);
+    for (type_index, name) in ["m-1", "m-2"].into_iter().enumerate() {
+        let machine_type = &types[type_index];
+        let mut machine =
+            MachineTimeline::new(name.into(), type_index, machine_type, 0, false, 100.0);
+        machine.up = true;
+        round.machines.push(machine);
+    }
+    round.first_planned_rental = 2;
+    // The array may use only the small machine, which has two GPUs, and the other job only the
+    // large one.
+    let (mut array, mut other) = (
+        pending_job(1, 1.0, 3_600.0, false),
+        pending_job(2, 1.0, 60.0, false),
+    );
+    array.estimates[1].usable = false;
+    other.estimates[0].usable = false;
+    other.tasks = (0..4).collect();
+    let decisions = round.schedule(&[array, other.clone()]);
+    let placed = |id: &str| decisions.placements.iter().filter(|p| p.job == id).count();
+    assert_eq!(placed("j-1"), 2);
+    assert_eq!(placed("j-2"), 4);
+}
+
 /// Guards against a gang that never starts: with three tasks and two machines that fit one
 /// task each, the third task was planned after another task of the gang if that was sooner
 /// than a boot, and no machine was rented.
