Assignments: fit any size of a value, and refuse a gang that never can

In a store with values of 1 KB an array of 500 tasks did not start either (test below).

Here it was kept by numbers of tasks (100 for an array, 800 with hints for a gang), not by their size, and not at all for a larger gang.

Change: the batches of an array are halved until each fits. A gang has placement hints if they fit. The assignment of a gang has to be one mutation, since its tasks find each other by the revision of that commit; a gang whose assignment would not fit without hints either, with tasks in as many shards as there are, is answered 422 at submission, as a job with lists that can't be stored is.

--- a/crates/rushwalk/src/http.rs
+++ b/crates/rushwalk/src/http.rs
@@ -8,6 +8,7 @@
 mod peers;
 mod public;
 mod responses;
+mod submission_size;
 mod user_requests;
 
 use crate::controller::Controller;
--- a/crates/rushwalk/src/http/user_requests.rs
+++ b/crates/rushwalk/src/http/user_requests.rs
@@ -6,6 +6,7 @@
 
 use super::forwarding::PeerForwarder;
 use super::responses::{error, error_with_retry_after, json};
+use super::submission_size::check_size;
 use crate::clock::now_ms;
 use crate::context::Context;
 use crate::observability::rejections::RejectionCounter;
@@ -256,8 +257,8 @@
         let site = &self.context.settings.site;
         check_satisfiable(&spec, &site.teams, &types.types, &site.zones)
             .map_err(rejected_with(StatusCode::UNPROCESSABLE_ENTITY))?;
-        self.log
-            .check_size(&spec)
+        let shards = self.replica.state().shards.keys().cloned().collect();
+        check_size(&spec, &self.log, shards)
             .map_err(rejected_with(StatusCode::UNPROCESSABLE_ENTITY))?;
         Ok(spec)
     }
--- a/crates/rushwalk/src/leadership/leader.rs
+++ b/crates/rushwalk/src/leadership/leader.rs
@@ -225,6 +225,11 @@
         self.record_outcome(&outcome)
     }
 
+    /// The size limit of a mutation that can't be split, in bytes.
+    pub fn max_mutation_bytes(&self) -> usize {
+        self.log.max_packed_bytes()
+    }
+
     /// Appends mutations to the log on condition that the leader key still has the given version.
     /// Returns false in the same cases as [`Leadership::commit`].
     pub async fn append(
--- a/crates/rushwalk/src/scheduling.rs
+++ b/crates/rushwalk/src/scheduling.rs
@@ -10,4 +10,5 @@
 mod time_slices;
 mod usage;
 
+pub(crate) use assignment::largest_gang_assignment;
 pub(crate) use scheduler::{PendingReasons, Scheduler, SchedulerParts};
--- a/crates/rushwalk/src/scheduling/assignment.rs
+++ b/crates/rushwalk/src/scheduling/assignment.rs
@@ -6,20 +6,17 @@
 
 use crate::scheduler_inputs;
 use rushwalk_protocol::ids::{JobId, MachineId, ShardId};
-use rushwalk_protocol::jobs::Shape;
+use rushwalk_protocol::jobs::{JobSpec, Shape};
 use rushwalk_scheduler::Resources;
 use rushwalk_scheduler::round::{PendingJob, Placement, SchedulingDecisions, SchedulingRound};
+use rushwalk_state::codec::packed_size;
 use rushwalk_state::mutation::{AssignTasks, MAX_BATCH, ShardTasks, TaskOnMachine};
 use rushwalk_state::records::MachineTypes;
 use rushwalk_state::{AssignedTask, ClusterState, Mutation, UnixMillis};
 use std::collections::BTreeMap;
 
-/// The largest number of tasks of a gang that is assigned with placement hints. The hint of a
-/// task is the machine for which it is planned. A gang is assigned by a single mutation, which
-/// with the hints of more tasks would exceed the smallest size limit of a store's values. A
-/// larger gang is therefore assigned without hints, and the owners of its shards choose the
-/// machines.
-const MAX_GANG_WITH_HINTS: usize = 8 * MAX_BATCH;
+/// The machine in the assignment of a task for which none is planned.
+const NO_HINT: &str = "";
 
 /// Adds assigned tasks to the usage of their teams, and reserves places for those that the owner
 /// of their shard has not placed yet.
@@ -87,6 +84,14 @@
     }
 }
 
+/// What all assignments of a scheduling round have in common.
+pub(super) struct AssignmentContext {
+    /// When the tasks are assigned.
+    pub(super) assigned_ms: UnixMillis,
+    /// The size limit of a mutation in bytes.
+    pub(super) max_bytes: usize,
+}
+
 /// Assigns tasks that can start now to the shards of their machines. Leaves out tasks of shards
 /// that accept no more work, for instance because the owner has failed or is suspected; a
 /// gang with such a task is left out as a whole. The places of the tasks that are left out stay
@@ -95,7 +100,7 @@
     state: &ClusterState,
     round: &SchedulingRound,
     decisions: &SchedulingDecisions,
-    now_ms: UnixMillis,
+    context: &AssignmentContext,
     accepts_more_work: impl Fn(&str) -> bool,
 ) -> Vec<Mutation> {
     let mut mutations = Vec::new();
@@ -119,7 +124,7 @@
             tracing::info!(job = &**id, tasks = placements.len(), "gang assigned");
         }
         let by_shard = by_shard(round, &assignable);
-        mutations.extend(assignments(id, job.spec.shape, now_ms, by_shard));
+        mutations.extend(context.assignments(id, job.spec.shape, by_shard));
     }
     mutations
 }
@@ -142,52 +147,98 @@
     by_shard
 }
 
-/// The mutations that assign a job's tasks to shards. Only a gang is assigned by a single
-/// mutation; the tasks of other jobs are split into batches. Without batches, an array job with
-/// free places for 900 tasks needed a mutation too large for a value of the store, so none of
-/// its tasks started in any round while that many places were free.
-fn assignments(
-    id: &JobId,
-    shape: Shape,
-    assigned_ms: UnixMillis,
-    by_shard: TasksByShard,
-) -> Vec<Mutation> {
-    let assign = |shards: Vec<ShardTasks>| {
-        Mutation::Assign(AssignTasks {
-            job: id.clone(),
-            assigned_ms,
-            shards,
-        })
-    };
-    if shape == Shape::Gang {
-        return vec![assign(gang_shards(by_shard))];
+impl AssignmentContext {
+    /// The mutations that assign a job's tasks to shards. Only a gang is assigned by a single
+    /// mutation; the tasks of other jobs are split into batches. Without batches, an array job with
+    /// free places for 900 tasks needed a mutation too large for a value of the store, so none of
+    /// its tasks started in any round while that many places were free.
+    fn assignments(&self, id: &JobId, shape: Shape, by_shard: TasksByShard) -> Vec<Mutation> {
+        if shape == Shape::Gang {
+            return vec![self.gang_assignment(id, by_shard)];
+        }
+        let mut mutations = Vec::new();
+        for (shard, tasks) in by_shard {
+            for batch in tasks.chunks(MAX_BATCH) {
+                self.assign_batch(id, &shard, batch, &mut mutations);
+            }
+        }
+        mutations
     }
-    let mut mutations = Vec::new();
-    for (shard, tasks) in by_shard {
-        for batch in tasks.chunks(MAX_BATCH) {
-            mutations.push(assign(vec![ShardTasks {
-                shard: shard.clone(),
-                tasks: batch.to_vec(),
-            }]));
+
+    /// Assigns tasks to one shard, by as many mutations as the size limit requires.
+    fn assign_batch(
+        &self,
+        id: &JobId,
+        shard: &ShardId,
+        tasks: &[TaskOnMachine],
+        mutations: &mut Vec<Mutation>,
+    ) {
+        let shards = vec![ShardTasks {
+            shard: shard.clone(),
+            tasks: tasks.to_vec(),
+        }];
+        let mutation = assignment(id, self.assigned_ms, shards);
+        if tasks.len() > 1 && packed_size(&mutation) > self.max_bytes {
+            let (first, second) = tasks.split_at(tasks.len() / 2);
+            self.assign_batch(id, shard, first, mutations);
+            self.assign_batch(id, shard, second, mutations);
+        } else {
+            mutations.push(mutation);
         }
     }
-    mutations
-}
 
-/// The tasks of a gang by shard, without placement hints if there are more than
-/// [`MAX_GANG_WITH_HINTS`].
-fn gang_shards(by_shard: TasksByShard) -> Vec<ShardTasks> {
-    let tasks: usize = by_shard.values().map(Vec::len).sum();
-    let shards = by_shard.into_iter().map(|(shard, mut tasks_of_shard)| {
-        if tasks > MAX_GANG_WITH_HINTS {
-            for task in &mut tasks_of_shard {
-                task.machine = "".into();
-            }
+    /// Assigns a gang, with placement hints if the size limit allows it. The hint of a task is the
+    /// machine for which it is planned; without hints, the owners of the shards choose machines.
+    fn gang_assignment(&self, id: &JobId, by_shard: TasksByShard) -> Mutation {
+        let mut shards: Vec<ShardTasks> = by_shard
+            .into_iter()
+            .map(|(shard, tasks)| ShardTasks { shard, tasks })
+            .collect();
+        let mutation = assignment(id, self.assigned_ms, shards.clone());
+        if packed_size(&mutation) <= self.max_bytes {
+            return mutation;
         }
-        ShardTasks {
-            shard,
-            tasks: tasks_of_shard,
+        for task in shards.iter_mut().flat_map(|shard| &mut shard.tasks) {
+            task.machine = NO_HINT.into();
         }
-    });
-    shards.collect()
+        assignment(id, self.assigned_ms, shards)
+    }
+}
+
+fn assignment(id: &JobId, assigned_ms: UnixMillis, shards: Vec<ShardTasks>) -> Mutation {
+    Mutation::Assign(AssignTasks {
+        job: id.clone(),
+        assigned_ms,
+        shards,
+    })
+}
+
+/// The largest mutation that may have to assign a gang: without placement hints, and with tasks in
+/// as many of these shards as possible.
+pub(crate) fn largest_gang_assignment(spec: &JobSpec, shards: Vec<ShardId>) -> Mutation {
+    let mut by_shard: Vec<ShardTasks> = shards
+        .into_iter()
+        .take(spec.tasks as usize)
+        .map(|shard| ShardTasks {
+            shard,
+            tasks: Vec::new(),
+        })
+        .collect();
+    if by_shard.is_empty() {
+        by_shard.push(ShardTasks {
+            shard: "".into(),
+            tasks: Vec::new(),
+        });
+    }
+    let shard_count = by_shard.len();
+    for task in 0..spec.tasks {
+        let task_on_machine = TaskOnMachine {
+            task,
+            machine: NO_HINT.into(),
+        };
+        by_shard[task as usize % shard_count]
+            .tasks
+            .push(task_on_machine);
+    }
+    assignment(&spec.id.as_str().into(), UnixMillis::MAX, by_shard)
 }
--- a/crates/rushwalk/src/scheduling/scheduler.rs
+++ b/crates/rushwalk/src/scheduling/scheduler.rs
@@ -1,6 +1,6 @@
 //! The scheduling loop of the leader.
 
-use super::assignment::{assign, reserve_assigned};
+use super::assignment::{AssignmentContext, assign, reserve_assigned};
 use super::expected_demand::{ExpectedJob, expected_jobs};
 use super::maintenance::maintenance;
 use super::queue::pending_jobs;
@@ -278,7 +278,11 @@
         let _timer = self.parts.work_profile.start(WorkKind::Schedule);
         let state = self.parts.replica.state();
         let peers = &self.parts.peers;
-        let mut mutations = assign(&state, round, &decisions, now_ms, |shard| {
+        let assignment_context = AssignmentContext {
+            assigned_ms: now_ms,
+            max_bytes: self.parts.leadership.max_mutation_bytes(),
+        };
+        let mut mutations = assign(&state, round, &decisions, &assignment_context, |shard| {
             peers.accepts_more_work(&state, shard)
         });
         *self.parts.pending_reasons.by_job() = decisions.pending_reasons;
--- a/crates/rushwalk/src/store/log_writer.rs
+++ b/crates/rushwalk/src/store/log_writer.rs
@@ -7,11 +7,10 @@
 use parking_lot::Mutex;
 use rushwalk_clients::Error;
 use rushwalk_clients::store::CommitOutcome;
-use rushwalk_protocol::jobs::JobSpec;
 use rushwalk_protocol::store::{Transaction, Write};
 use rushwalk_state::codec::{self, MutationPacker, UnstorableMutation};
-use rushwalk_state::mutation::{Mutation, SubmitJob};
-use rushwalk_state::{EntryKeyAllocator, Revision, UnixMillis, keys};
+use rushwalk_state::mutation::Mutation;
+use rushwalk_state::{EntryKeyAllocator, Revision, keys};
 use std::iter::Peekable;
 use std::sync::Arc;
 use std::vec;
@@ -35,10 +34,10 @@
     pub version: Revision,
 }
 
-/// A job submission does not fit into one value of the store.
+/// A mutation does not fit into one value of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("its lists are too long")]
-pub struct SubmissionTooLarge;
+#[error("it exceeds the size limit of a value of the store")]
+pub struct ExceedsValue;
 
 /// Appends mutations to this controller's part of the log.
 pub struct LogWriter {
@@ -75,18 +74,14 @@
         (value_kb.clamp(1.0, MAX_VALUE_KB) * 1024.0) as usize - FRAME_BYTES
     }
 
-    /// Checks that a job submission fits into one value of the store.
+    /// Checks that a mutation that can't be split fits into one value of the store.
     ///
     /// # Errors
     ///
-    /// [`SubmissionTooLarge`] if it does not.
-    pub fn check_size(&self, spec: &JobSpec) -> Result<(), SubmissionTooLarge> {
-        let submit = Mutation::Submit(SubmitJob {
-            spec: Arc::new(spec.clone()),
-            accepted_ms: UnixMillis::MAX,
-        });
-        if codec::packed_size(&submit) > self.max_packed_bytes() {
-            return Err(SubmissionTooLarge);
+    /// [`ExceedsValue`] if it does not.
+    pub fn check_size(&self, mutation: &Mutation) -> Result<(), ExceedsValue> {
+        if codec::packed_size(mutation) > self.max_packed_bytes() {
+            return Err(ExceedsValue);
         }
         Ok(())
     }
--- a/crates/simulator/tests/cluster/scheduling.rs
+++ b/crates/simulator/tests/cluster/scheduling.rs
@@ -134,3 +134,22 @@
     assert_eq!(cluster.job_status(&gang).await.running, 0);
     cluster.assert_invariants();
 }
+
+/// A gang whose assignment exceeded a value of the store was accepted and never started. Any gang
+/// that is accepted must start, and arrays must start also if values are small.
+#[tokio::test(start_paused = true)]
+async fn accepted_jobs_start_whatever_the_size_of_values() {
+    for (value_kb, gang_tasks) in [(1.0, 60), (16.0, 1_200)] {
+        let config = ClusterConfig {
+            value_kb,
+            ..ClusterConfig::default()
+        };
+        let mut cluster = SimulatedCluster::warmed_up(config, 16).await;
+        let fields = json!({"cpus": 0.01, "memoryGb": 0.01});
+        let gang = cluster.submit_with(1, "gang", gang_tasks, 0.0, 5.0, fields.clone());
+        let gang = gang.await;
+        let array = cluster.submit_with(2, "sweep", 500, 0.0, 5.0, fields).await;
+        cluster.wait_until_done(&[gang, array], 120).await;
+        cluster.assert_invariants();
+    }
+}
--- a/crates/simulator/tests/observed_faults/validation.rs
+++ b/crates/simulator/tests/observed_faults/validation.rs
@@ -46,6 +46,12 @@
             "lists",
             json!({"builds": types, "kit": "k".repeat(200)}),
         ),
+        // The assignment of a gang is one value of the store.
+        (
+            422,
+            "gang of 3000 tasks",
+            json!({"pieces": 3000, "gpus": 0.0}),
+        ),
         (400, "pieces", json!({"pieces": 0})),
         (400, "-3", json!({"pieces": -3})),
         (400, "2.5", json!({"pieces": 2.5})),
