Workers: keep heartbeats and commands of a machine with many tasks below 64 KiB

What callers saw: in the simulator, an array of 2,000 tasks with 0.004 CPUs each was never done. Nobody has reported it.

The planner fills a machine by its resources alone. With some 900 tasks a heartbeat exceeds the 64 KiB of a request, this controller and all others answer 413, the worker's lease expires, the tasks are lost, and the same happens again. The commands for such a machine were one message of any size.

Evidence: the array's tasks start and run, none ever ends, and they start again every 40 to 60 s (9,000 starts in 150 s for 3,000 tasks). The simulated platform now reports a heartbeat, a response or a direct command above the limit as a violation; it took any size before.

Change: a task occupies at least a 256th of its machine's CPUs in the planner, of the leader and of the owners, so that its heartbeat has room for as many tasks again that have exited. Quotas and the requests themselves do not change. A message has as many commands as surely fit; the others follow.

--- a/crates/rushwalk/src/workers/commands.rs
+++ b/crates/rushwalk/src/workers/commands.rs
@@ -1,7 +1,11 @@
 //! Commands that bring a machine from the state that its worker reports to the state in the
 //! store.
 
+#[cfg(test)]
+mod tests;
+
 use super::session::{ReportedTask, SentStart, WorkerSession};
+use rushwalk_protocol::MAX_BODY;
 use rushwalk_protocol::ids::{AttemptId, MachineId, TaskId};
 use rushwalk_protocol::worker::{Command, TaskPhase, TaskStatus};
 use rushwalk_state::records::JobPhase;
@@ -10,7 +14,15 @@
 /// Seconds added to the time in which a task may save a checkpoint before it is killed.
 const CHECKPOINT_MARGIN_S: f64 = 1.0;
 
-/// The commands for a machine whose shard this process owns under the fencing token `token`.
+/// The size of a command in a message to a worker is at most this, in bytes.
+const COMMAND_BYTES: usize = 120;
+
+/// The number of commands in a message, so that it stays within the size limit of the protocol. The
+/// others follow in the next message.
+const MAX_COMMANDS: usize = MAX_BODY / COMMAND_BYTES - 1;
+
+/// The commands for a machine whose shard this process owns under the fencing token `token`, at
+/// most [`MAX_COMMANDS`].
 pub(crate) fn commands(
     state: &ClusterState,
     session: &WorkerSession,
@@ -31,6 +43,7 @@
             commands.extend(command_for_unwanted(session, token, &reported.status));
         }
     }
+    commands.truncate(MAX_COMMANDS);
     commands
 }
 
--- a/crates/scheduler/src/timeline.rs
+++ b/crates/scheduler/src/timeline.rs
@@ -3,6 +3,7 @@
 
 use crate::Resources;
 use crate::pending_job::{PendingJob, TaskEstimate};
+use rushwalk_protocol::MAX_BODY;
 use rushwalk_protocol::cloud::MachineType;
 use std::sync::Arc;
 
@@ -10,6 +11,13 @@
 /// instead of names.
 pub type ImageId = u32;
 
+/// The size of a task in a heartbeat is at most this, in bytes.
+const TASK_BYTES_IN_HEARTBEAT: usize = 128;
+
+/// The number of tasks that may run on a machine at the same time. Its heartbeats list them in one
+/// request, together with about as many that have exited and are not forgotten yet.
+const MAX_TASKS_PER_MACHINE: f64 = (MAX_BODY / (2 * TASK_BYTES_IN_HEARTBEAT)) as f64;
+
 /// A machine with the tasks planned on it. Times are in seconds since the Unix epoch.
 #[derive(Debug, Clone)]
 pub struct MachineTimeline {
@@ -179,6 +187,7 @@
     /// Reserves `amount` for one task from `start_s` until `finish_s`, in seconds since the
     /// Unix epoch; an infinite `finish_s` reserves it without end.
     pub fn reserve(&mut self, amount: Resources, start_s: f64, finish_s: f64) {
+        let amount = self.occupied_by(&amount);
         let start_s = start_s.max(self.free[0].from_s);
         self.split_at(start_s);
         if finish_s.is_finite() {
@@ -192,6 +201,15 @@
         self.tasks += 1;
     }
 
+    /// What a task that requests `amount` occupies on this machine: enough that no more than
+    /// [`MAX_TASKS_PER_MACHINE`] tasks fit.
+    fn occupied_by(&self, amount: &Resources) -> Resources {
+        Resources {
+            cpus: amount.cpus.max(self.capacity.cpus / MAX_TASKS_PER_MACHINE),
+            ..*amount
+        }
+    }
+
     /// Splits the step that contains `time_s`, so that a step begins at that time.
     fn split_at(&mut self, time_s: f64) {
         let found = self
@@ -263,7 +281,8 @@
     /// of the paper). `None` if the job has no estimate for the machine's type, or the machine
     /// never has room for the task.
     pub fn predict(&self, job: &PendingJob, now_s: f64) -> Option<PredictedFinish> {
-        if !job.resources.fits_in(&self.capacity) {
+        let amount = self.occupied_by(&job.resources);
+        if !amount.fits_in(&self.capacity) {
             return None;
         }
         let estimate = job.estimates.get(self.type_index)?;
@@ -273,7 +292,7 @@
         let available_s = recorded_s.unwrap_or_else(|| self.fetch_end_s(estimate.fetch_s, from_s));
         let fetch_s = (available_s - from_s).max(0.0);
         let duration_s = job.overhead_s + fetch_s + run_s;
-        let mut start_s = self.earliest_start(&job.resources, now_s, duration_s)?;
+        let mut start_s = self.earliest_start(&amount, now_s, duration_s)?;
         if self.up {
             start_s =
                 start_with_uncertainty(start_s, now_s, self.prediction_error_s, estimate, job);
--- a/crates/simulator/tests/cluster/scheduling.rs
+++ b/crates/simulator/tests/cluster/scheduling.rs
@@ -153,3 +153,15 @@
         cluster.assert_invariants();
     }
 }
+
+/// So many small tasks were placed on one machine that its heartbeats exceeded the size limit of
+/// a request and were rejected. Its lease expired, all tasks were lost, and this repeated.
+#[tokio::test(start_paused = true)]
+async fn a_machine_gets_no_more_tasks_than_its_heartbeats_can_list() {
+    let mut cluster = SimulatedCluster::warmed_up(ClusterConfig::default(), 17).await;
+    let fields = json!({"cpus": 0.004, "memoryGb": 0.01});
+    let array = cluster.submit_with(1, "sweep", 2_000, 0.0, 60.0, fields);
+    let array = array.await;
+    cluster.wait_until_done(&[array], 240).await;
+    cluster.assert_invariants();
+}
--- a/crates/testkit/src/platform/network.rs
+++ b/crates/testkit/src/platform/network.rs
@@ -7,6 +7,7 @@
 use crate::worker::DirectResponse;
 use rushwalk_clients::http::{Exchange, Transport};
 use rushwalk_clients::{Error, Method};
+use rushwalk_protocol::MAX_BODY;
 use rushwalk_protocol::worker::{CommandBatch, Heartbeat};
 use std::future::Future;
 use std::net::{IpAddr, SocketAddr};
@@ -167,14 +168,27 @@
             return None;
         }
         let body = serde_json::to_vec(heartbeat).ok()?;
+        self.check_message_size("heartbeat", machine, body.len());
         self.copy_heartbeat(controller, &body);
         let response = self
             .call_controller(controller, "POST", HEARTBEAT_PATH, body)
             .await;
+        if let Some(response) = &response {
+            self.check_message_size("response", machine, response.body.len());
+        }
         self.wait_while_delayed(controller).await;
         response
     }
 
+    /// Reports a message to or from a worker as a violation if it exceeds the size limit of the
+    /// protocol. A heartbeat does if the machine has too many tasks.
+    fn check_message_size(&self, message: &str, machine: usize, bytes: usize) {
+        if bytes > MAX_BODY {
+            let violation = format!("message_limit: {message} of {bytes} bytes ({machine})");
+            self.checker().violations.push(violation);
+        }
+    }
+
     /// Sends a delayed copy of a heartbeat with probability 1/2 while
     /// [`Fault::HeartbeatsDuplicated`] is active, and records it while
     /// [`Fault::HeartbeatsRecorded`] is active.
@@ -265,6 +279,7 @@
             return None;
         }
         let machine = self.reachable_machine(controller, &to.to_string())?;
+        self.check_message_size("direct command", machine, body.len());
         while self.is_active(Fault::MachineFrozen(machine)) {
             sleep(Duration::from_millis(50)).await;
         }
