--- a/crates/state/src/cluster_state/replication.rs
+++ b/crates/state/src/cluster_state/replication.rs
@@ -245,6 +245,10 @@
 
     fn set_snapshot(&mut self, manifest: SnapshotManifest) {
         self.snapshot = manifest;
+        if self.unreadable.as_deref() == Some(keys::SNAPSHOT_MANIFEST) {
+            // The state lacks a part that the new snapshot may have.
+            self.has_gap = true;
+        }
         let versions = self.log_versions.values();
         let newer_versions = versions.filter(|version| **version > manifest.revision);
         self.entries_since_snapshot = newer_versions.count();
--- a/crates/state/src/cluster_state/restore.rs
+++ b/crates/state/src/cluster_state/restore.rs
@@ -2,6 +2,7 @@
 //! kinds of mutations that occur only in snapshots.
 
 use super::{ClusterState, FinishedJobState, JobState};
+use crate::keys;
 use crate::mutation::{
     FinishedJob, MachineAdopted, Mutation, RequestRental, RestoreCompleted, RestoreFailures,
     RestoreFinished, RestoreTasks, RestoreTerminating, RestoredTask, SubmitJob, in_batches,
@@ -60,31 +61,33 @@
     }
 
     pub(super) fn restore_terminating(&mut self, restore: RestoreTerminating) {
-        if let Some(job) = self.jobs.get_mut(&restore.job) {
-            job.phase = restore.phase;
-        }
+        let Some(job) = self.jobs.get_mut(&restore.job) else {
+            return self.refuse_snapshot(&restore.job, SnapshotDamage::UnknownJob);
+        };
+        job.phase = restore.phase;
         self.dequeue(restore.job);
     }
 
     pub(super) fn restore_completed(&mut self, restore: &RestoreCompleted) {
         let Some(job) = self.jobs.get_mut(&restore.job) else {
-            return;
+            return self.refuse_snapshot(&restore.job, SnapshotDamage::UnknownJob);
         };
         let inserted = job
             .completed
             .insert_hex(restore.first_task, &restore.bitmap_hex);
-        if inserted.is_err() {
-            tracing::error!(
-                job = &*restore.job,
-                "snapshot holds an invalid bitmap of completed tasks"
-            );
-        }
-        if job.completed.count() > 0 {
+        let has_completed = job.completed.count() > 0;
+        if has_completed {
             job.mark_started(&mut self.service_counts);
         }
+        if inserted.is_err() {
+            self.refuse_snapshot(&restore.job, SnapshotDamage::InvalidBitmap);
+        }
     }
 
     pub(super) fn restore_tasks(&mut self, restore: RestoreTasks) {
+        if !self.jobs.contains_key(&restore.job) {
+            return self.refuse_snapshot(&restore.job, SnapshotDamage::UnknownJob);
+        }
         for task in restore.tasks {
             self.restore_machine_of(&task.record);
             self.add_task(&restore.job, task.task, task.record);
@@ -109,12 +112,35 @@
     }
 
     pub(super) fn restore_failures(&mut self, restore: RestoreFailures) {
-        if let Some(job) = self.jobs.get_mut(&restore.job) {
-            job.failures = restore.failures;
+        let Some(job) = self.jobs.get_mut(&restore.job) else {
+            return self.refuse_snapshot(&restore.job, SnapshotDamage::UnknownJob);
+        };
+        job.failures = restore.failures;
+    }
+
+    /// Marks a snapshot that lacks a part of the state as unreadable, so that no decisions are made
+    /// from it. The store is listed again when the next snapshot is written.
+    fn refuse_snapshot(&mut self, job: &JobId, damage: SnapshotDamage) {
+        if self.unreadable.is_none() {
+            tracing::error!(
+                job = &**job,
+                ?damage,
+                "snapshot is damaged: this controller makes no decisions"
+            );
+            self.unreadable = Some(keys::SNAPSHOT_MANIFEST.to_string());
         }
     }
 }
 
+/// Why a snapshot does not restore the whole state.
+#[derive(Debug, Clone, Copy)]
+enum SnapshotDamage {
+    /// The snapshot has a part of a job, but not the job itself.
+    UnknownJob,
+    /// The completed tasks of a job can't be read.
+    InvalidBitmap,
+}
+
 fn append_job(mutations: &mut Vec<Mutation>, id: &JobId, job: &JobState) {
     mutations.push(Mutation::Submit(SubmitJob {
         spec: job.spec.clone(),
--- a/crates/state/src/cluster_state/tests.rs
+++ b/crates/state/src/cluster_state/tests.rs
@@ -301,6 +301,27 @@
     }
 }
 
+/// A snapshot with a part of a job but not the job itself was taken for whole: the job's tasks ran
+/// on while the controller did not know them. The next snapshot must be read.
+#[test]
+fn a_snapshot_that_lacks_a_job_is_refused_until_the_next_one() {
+    let is_submit = |mutation: &Mutation| matches!(mutation, Mutation::Submit(_));
+    let mutations = state_after(sample_history()).to_mutations();
+    assert!(mutations.iter().any(is_submit));
+    let kept = mutations.into_iter().filter(|m| !is_submit(m));
+    let mut state = state_after(kept.map(|mutation| (9, mutation)).collect());
+    assert_eq!(state.unreadable.as_deref(), Some(keys::SNAPSHOT_MANIFEST));
+    let next = format!(
+        r#"{{"ledger":12,"events":[{{"write":"{}","stamp":12,"v":{}}}]}}"#,
+        keys::SNAPSHOT_MANIFEST,
+        r#"{"at":11,"generation":2,"chunks":1}"#
+    );
+    state.revision = 11;
+    let response = serde_json::from_str(&next).unwrap();
+    state.apply_watch(11, response, 10).unwrap();
+    assert!(state.has_gap, "the store is listed again");
+}
+
 /// While the store is listed, watches may advance the current state beyond the listing. If
 /// the older listing then replaced the state, the next watch response would begin after the
 /// listing, and the changes in between would be lost.
