--- a/crates/rushwalk/src/scheduling.rs
+++ b/crates/rushwalk/src/scheduling.rs
@@ -4,6 +4,8 @@
 mod assignment;
 mod expected_demand;
 mod maintenance;
+mod parts;
+mod pending_reasons;
 mod queue;
 mod scheduler;
 mod stragglers;
@@ -11,4 +13,6 @@
 mod usage;
 
 pub(crate) use assignment::largest_gang_assignment;
-pub(crate) use scheduler::{PendingReasons, Scheduler, SchedulerParts};
+pub(crate) use parts::SchedulerParts;
+pub(crate) use pending_reasons::PendingReasons;
+pub(crate) use scheduler::Scheduler;
--- a/crates/rushwalk/src/scheduling/assignment.rs
+++ b/crates/rushwalk/src/scheduling/assignment.rs
@@ -84,7 +84,7 @@
     }
 }
 
-/// What all assignments of a scheduling round have in common.
+/// Properties that all assignments of a scheduling round share.
 pub(super) struct AssignmentContext {
     /// When the tasks are assigned.
     pub(super) assigned_ms: UnixMillis,
--- a/crates/rushwalk/src/scheduling/scheduler.rs
+++ b/crates/rushwalk/src/scheduling/scheduler.rs
@@ -3,11 +3,11 @@
 use super::assignment::{AssignmentContext, assign, reserve_assigned};
 use super::expected_demand::{ExpectedJob, expected_jobs};
 use super::maintenance::maintenance;
+use super::parts::SchedulerParts;
 use super::queue::pending_jobs;
 use super::stragglers::Stragglers;
 use super::time_slices::TimeSlicedPlanner;
 use super::usage::log_usage;
-use crate::capacity::RentalTracker;
 use crate::capacity::boot_supervision::BootSupervisor;
 use crate::capacity::machines::RoundBuilder;
 use crate::capacity::scale_in::ScaleIn;
@@ -15,20 +15,16 @@
 use crate::capacity::scarcity::PriceBias;
 use crate::clock::now_ms;
 use crate::context::Context;
-use crate::leadership::{LeaderVersion, Leadership};
-use crate::observability::runtime_lag::RuntimeLag;
-use crate::observability::work_profile::{WorkKind, WorkProfile};
-use crate::peers::PeerMonitor;
+use crate::leadership::LeaderVersion;
+use crate::observability::work_profile::WorkKind;
 use crate::scheduler_inputs::{self, seconds};
-use crate::store::{Replica, WritePriority};
-use parking_lot::{Mutex, MutexGuard};
-use rushwalk_clients::cloud::CloudClient;
+use crate::store::WritePriority;
 use rushwalk_protocol::ids::MachineId;
-use rushwalk_scheduler::round::{PendingJob, PendingReason, SchedulingDecisions, SchedulingRound};
+use rushwalk_scheduler::round::{PendingJob, SchedulingDecisions, SchedulingRound};
 use rushwalk_state::mutation::SetLifecycle;
 use rushwalk_state::records::{MachineLifecycle, MachineTypes};
 use rushwalk_state::{ClusterState, Mutation, UnixMillis};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -38,43 +34,6 @@
 /// more than the number of expected tasks divided by this.
 const WAITING_TOLERANCE_DIVISOR: usize = 50;
 
-/// Why jobs are pending, as of the latest scheduling round, for the administration API.
-#[derive(Default)]
-pub struct PendingReasons {
-    by_job: Mutex<BTreeMap<String, PendingReason>>,
-}
-
-impl PendingReasons {
-    /// The reasons by job. The leader replaces them in each round.
-    pub fn by_job(&self) -> MutexGuard<'_, BTreeMap<String, PendingReason>> {
-        self.by_job.lock()
-    }
-}
-
-/// The components that scheduling uses.
-pub(crate) struct SchedulerParts {
-    /// The settings and intervals of this process.
-    pub context: Arc<Context>,
-    /// The replica of the cluster state, with jobs and machines.
-    pub replica: Arc<Replica>,
-    /// Whether this process is the leader; only the leader schedules. Commits the mutations of a
-    /// round.
-    pub leadership: Arc<Leadership>,
-    /// The health of the other controllers, which decides whose shards accept more work.
-    pub peers: Arc<PeerMonitor>,
-    /// The cloud client, whose rate limit bounds the rental calls of a round.
-    pub cloud: Arc<CloudClient>,
-    /// Rentals in progress, and an estimate of what the cloud can rent out.
-    pub tracker: Arc<RentalTracker>,
-    /// Receives the reasons of the pending jobs in each round.
-    pub pending_reasons: Arc<PendingReasons>,
-    /// Measures the event-loop lag of this thread, and yields to its other asynchronous tasks
-    /// between time slices.
-    pub runtime_lag: Arc<RuntimeLag>,
-    /// Measures the time that each kind of work takes.
-    pub work_profile: Arc<WorkProfile>,
-}
-
 /// Makes scheduling rounds while this process leads.
 pub(crate) struct Scheduler {
     parts: SchedulerParts,
--- a/crates/rushwalk/src/workers/session.rs
+++ b/crates/rushwalk/src/workers/session.rs
@@ -5,9 +5,12 @@
 //! this controller's fencing token and does not list the task, or a worker lease that has
 //! certainly expired.
 
+mod calls;
 #[cfg(test)]
 mod tests;
 
+pub use calls::{CallInFlight, SentStart, UnresolvedStart};
+
 use super::registry::Ownership;
 use crate::clock::now_ms;
 use crate::timing::Timing;
@@ -35,34 +38,6 @@
     pub status: TaskStatus,
 }
 
-/// A start command in a call to a worker's own address that was not answered. The worker
-/// may still execute it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct UnresolvedStart {
-    /// Fencing token of the command batch.
-    pub token: Revision,
-    /// Worker session of the command batch; in a later session the worker ignores it.
-    pub session: u64,
-}
-
-/// Kind of a call to a worker's own address.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CallInFlight {
-    /// Asks for a heartbeat; starts no task.
-    Probe,
-    /// Carries commands, which may start tasks.
-    Commands,
-}
-
-/// A start command in the response to a heartbeat.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SentStart {
-    /// Name of the task as in commands and heartbeats.
-    pub task: String,
-    /// Attempt that the worker is to start.
-    pub attempt: Revision,
-}
-
 /// A response to a heartbeat that the worker may or may not have received.
 #[derive(Debug)]
 struct UnconfirmedResponse {
--- a/crates/scheduler/src/timeline.rs
+++ b/crates/scheduler/src/timeline.rs
@@ -201,8 +201,8 @@
         self.tasks += 1;
     }
 
-    /// What a task that requests `amount` occupies on this machine: enough that no more than
-    /// [`MAX_TASKS_PER_MACHINE`] tasks fit.
+    /// The resources of this machine that a task with the request `amount` occupies. They are so
+    /// large that at most [`MAX_TASKS_PER_MACHINE`] tasks fit.
     fn occupied_by(&self, amount: &Resources) -> Resources {
         Resources {
             cpus: amount.cpus.max(self.capacity.cpus / MAX_TASKS_PER_MACHINE),
--- a/crates/simulator/tests/cluster/scheduling.rs
+++ b/crates/simulator/tests/cluster/scheduling.rs
@@ -154,8 +154,8 @@
     }
 }
 
-/// So many small tasks were placed on one machine that its heartbeats exceeded the size limit of
-/// a request and were rejected. Its lease expired, all tasks were lost, and this repeated.
+/// The planner placed any number of small tasks on one machine. Its heartbeats exceeded the size
+/// limit of a request and were rejected, its lease expired, and all tasks were lost each time.
 #[tokio::test(start_paused = true)]
 async fn a_machine_gets_no_more_tasks_than_its_heartbeats_can_list() {
     let mut cluster = SimulatedCluster::warmed_up(ClusterConfig::default(), 17).await;
--- a/crates/simulator/tests/cluster/snapshots.rs
+++ b/crates/simulator/tests/cluster/snapshots.rs
@@ -110,8 +110,8 @@
     cluster.assert_invariants();
 }
 
-/// An earlier version wrote a snapshot without the machine. Its tasks were never started again,
-/// nor did anyone end them. They must run on, or run again once the machine is surely gone.
+/// An earlier version wrote a snapshot without the machine. Its tasks were neither ended nor
+/// started again. They must run on, or run again once the machine is surely gone.
 #[tokio::test(start_paused = true)]
 async fn tasks_of_a_machine_that_a_stored_snapshot_lacks_are_not_lost() {
     let mut cluster = cluster(33);
--- a/crates/state/tests/memory.rs
+++ b/crates/state/tests/memory.rs
@@ -1,15 +1,17 @@
 //! The memory that the replicated state takes at full fleet size, from counted allocations.
 
+mod common;
+
+use common::snapshot;
 use rushwalk_protocol::ids::{JobId, MachineId};
 use rushwalk_protocol::jobs::JobSpec;
-use rushwalk_protocol::store::KeyValue;
 use rushwalk_scheduler::durations::DurationEstimator;
+use rushwalk_state::ClusterState;
 use rushwalk_state::mutation::{
     AssignTasks, FinishedJob, MachineAdopted, Mutation, PlaceTasks, RestoreFinished, ShardTasks,
     SubmitJob, TaskOnMachine,
 };
-use rushwalk_state::records::{CachedImage, JobPhase, MachineRecord, SnapshotManifest};
-use rushwalk_state::{ClusterState, codec, keys};
+use rushwalk_state::records::{CachedImage, JobPhase, MachineRecord};
 use std::sync::Arc;
 
 const MACHINES: usize = 2100;
@@ -103,27 +105,6 @@
     state
 }
 
-/// A snapshot of the state as the store would list it.
-fn listing(state: &ClusterState) -> Vec<KeyValue> {
-    let packed = codec::pack(&state.to_mutations(), 16_000).unwrap();
-    let manifest = SnapshotManifest {
-        revision: 9,
-        generation: 1,
-        chunks: packed.len(),
-    };
-    let manifest_entry = KeyValue {
-        key: keys::SNAPSHOT_MANIFEST.into(),
-        value: serde_json::value::to_raw_value(&manifest).unwrap(),
-        version: 10,
-    };
-    let chunks = packed.iter().enumerate().map(|(i, text)| KeyValue {
-        key: keys::snapshot_chunk(1, i),
-        value: codec::frame(9, text).unwrap(),
-        version: 10,
-    });
-    std::iter::once(manifest_entry).chain(chunks).collect()
-}
-
 /// The smallest controllers have 142 MB for everything, connections included. The state, the
 /// writing of a snapshot, and a state that is built from a listing beside the old one must
 /// leave most of this free.
@@ -140,7 +121,8 @@
         "{state_memory:?}"
     );
     let mut listed = None;
-    let snapshot_memory = allocation_counter::measure(|| listed = Some(listing(&state)));
+    let snapshot_memory =
+        allocation_counter::measure(|| listed = Some(snapshot(&state.to_mutations(), 16_000, 9)));
     assert!(snapshot_memory.bytes_max < 14 * MB, "{snapshot_memory:?}");
     let mut restored = None;
     let listed = listed.unwrap();
--- a/crates/state/tests/size_limit.rs
+++ b/crates/state/tests/size_limit.rs
@@ -1,18 +1,17 @@
 //! Snapshots of states whose records exceed the size limit of a value of the store.
 
+mod common;
+
+use common::{snapshot, snapshot_contents};
 use proptest::prelude::*;
 use rushwalk_protocol::jobs::JobSpec;
-use rushwalk_protocol::store::KeyValue;
 use rushwalk_scheduler::durations::DurationEstimator;
 use rushwalk_state::mutation::{
     AssignTasks, MachineAdopted, PlaceTasks, ShardTasks, SubmitJob, TaskOnMachine, TasksEnded,
     TasksStarted,
 };
-use rushwalk_state::records::{
-    AttemptOutcome, CachedImage, MachineRecord, MachineTypes, SnapshotManifest,
-};
-use rushwalk_state::{ClusterState, Mutation, codec, keys};
-use std::collections::BTreeSet;
+use rushwalk_state::records::{AttemptOutcome, CachedImage, MachineRecord, MachineTypes};
+use rushwalk_state::{ClusterState, Mutation, codec};
 use std::sync::Arc;
 
 /// The revision of the snapshots.
@@ -124,47 +123,15 @@
 
 /// The state that a controller restores from a snapshot with these mutations.
 fn restored_from(mutations: &[Mutation], max_bytes: usize) -> ClusterState {
-    let packed = codec::pack(mutations, max_bytes).unwrap();
-    let too_large = packed.iter().find(|text| text.len() > max_bytes);
-    assert_eq!(too_large, None);
-    let manifest = SnapshotManifest {
-        revision: REVISION,
-        generation: 1,
-        chunks: packed.len(),
-    };
-    let mut entries = vec![KeyValue {
-        key: keys::SNAPSHOT_MANIFEST.into(),
-        value: serde_json::value::to_raw_value(&manifest).unwrap(),
-        version: REVISION + 1,
-    }];
-    entries.extend(packed.iter().enumerate().map(|(index, text)| KeyValue {
-        key: keys::snapshot_chunk(1, index),
-        value: codec::frame(REVISION, text).unwrap(),
-        version: REVISION + 1,
-    }));
+    let entries = snapshot(mutations, max_bytes, REVISION);
     let mut state = ClusterState::from_listing(entries, REVISION + 1, READ_MS).unwrap();
     state.machine_types = Some(Arc::new(machine_types()));
     state
 }
 
-/// The mutations of a snapshot as a set, with one mutation for each finished job: the order of
-/// jobs differs between processes.
-fn contents(state: &ClusterState) -> BTreeSet<String> {
-    let mut texts = BTreeSet::new();
-    for mutation in state.to_mutations() {
-        let Mutation::RestoreFinished(restore) = &mutation else {
-            texts.insert(serde_json::to_string(&mutation).unwrap());
-            continue;
-        };
-        let jobs = restore.jobs.iter();
-        texts.extend(jobs.map(|job| format!("{:?} {job:?}", restore.phase)));
-    }
-    texts
-}
-
 /// Fails if a snapshot of one state differs from a snapshot of the other.
 fn assert_equal(state: &ClusterState, expected: &ClusterState) {
-    let (state, expected) = (contents(state), contents(expected));
+    let (state, expected) = (snapshot_contents(state), snapshot_contents(expected));
     let first_difference = state.symmetric_difference(&expected).next();
     assert_eq!(first_difference, None);
 }
--- a/crates/state/tests/snapshot_equivalence.rs
+++ b/crates/state/tests/snapshot_equivalence.rs
@@ -1,10 +1,12 @@
 //! A controller that starts from a snapshot must reach the same state as its peers, which have
 //! applied the whole log: the effect of each later mutation depends on the state.
 
+mod common;
+
+use common::{snapshot, snapshot_contents};
 use proptest::prelude::*;
 use proptest::sample::{select, subsequence};
 use rushwalk_protocol::jobs::JobSpec;
-use rushwalk_protocol::store::KeyValue;
 use rushwalk_scheduler::durations::DurationEstimator;
 use rushwalk_state::mutation::{
     AssignTasks, MachineAdopted, MachinesUnreachable, PlaceTasks, ReclaimNotice, RentalFulfilled,
@@ -12,9 +14,9 @@
     TasksEnded, TasksStarted, UnassignTasks,
 };
 use rushwalk_state::records::{
-    AttemptOutcome, MachineLifecycle, MachineRecord, RentalRequest, SnapshotManifest, StopReason,
+    AttemptOutcome, MachineLifecycle, MachineRecord, RentalRequest, StopReason,
 };
-use rushwalk_state::{ClusterState, Mutation, Revision, codec, keys};
+use rushwalk_state::{ClusterState, Mutation, Revision};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -236,36 +238,13 @@
 
 /// The state that a controller restores from a snapshot with small values.
 fn restored(state: &ClusterState, revision: Revision) -> ClusterState {
-    let packed = codec::pack(&state.to_mutations(), 600).unwrap();
-    let manifest = SnapshotManifest {
-        revision,
-        generation: 1,
-        chunks: packed.len(),
-    };
-    let mut entries = vec![KeyValue {
-        key: keys::SNAPSHOT_MANIFEST.into(),
-        value: serde_json::value::to_raw_value(&manifest).unwrap(),
-        version: revision,
-    }];
-    entries.extend(packed.iter().enumerate().map(|(index, text)| KeyValue {
-        key: keys::snapshot_chunk(1, index),
-        value: codec::frame(revision, text).unwrap(),
-        version: revision,
-    }));
-    ClusterState::from_listing(entries, revision, NOW_MS).unwrap()
+    let entries = snapshot(&state.to_mutations(), 600, revision);
+    ClusterState::from_listing(entries, revision + 1, NOW_MS).unwrap()
 }
 
 /// Everything of a state on which the effect of a mutation depends.
 fn contents(state: &ClusterState) -> BTreeSet<String> {
-    let mut texts = BTreeSet::new();
-    for mutation in state.to_mutations() {
-        if let Mutation::RestoreFinished(restore) = &mutation {
-            let jobs = restore.jobs.iter();
-            texts.extend(jobs.map(|job| format!("{:?} {job:?}", restore.phase)));
-        } else {
-            texts.insert(serde_json::to_string(&mutation).unwrap());
-        }
-    }
+    let mut texts = snapshot_contents(state);
     for (id, machine) in &state.machines {
         texts.insert(format!("{id:?}: {:?}", machine.tasks));
     }
--- a/crates/testkit/src/invariants/starvation.rs
+++ b/crates/testkit/src/invariants/starvation.rs
@@ -1,7 +1,8 @@
 //! Invariant: after the end of all faults, no job waits for long while suitable machines have
 //! enough free capacity for it and its team's quota allows it to start.
 
-use super::{InvariantChecker, Placement, ROUNDING, TaskKey, TeamLimit};
+use super::team_limit::ROUNDING;
+use super::{InvariantChecker, Placement, TaskKey, TeamLimit};
 use rushwalk_protocol::jobs::{JobSpec, Shape};
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/testkit/src/store.rs
+++ b/crates/testkit/src/store.rs
@@ -99,7 +99,7 @@
     pub write_count: usize,
     /// Number of the latest changes (puts and deletions) that watches can read; 0 means all.
     pub retained_changes: usize,
-    /// Limits on a transaction; `None` if there are none.
+    /// Limits on a transaction; `None` if transactions are not limited.
     pub limits: Option<TransactionLimits>,
     entries: BTreeMap<String, StoredValue>,
     events: Vec<WatchEvent>,
