Task bitmap: correct the comment on the size of its parts

A part of 4,096 digits does not fit in a value of 1 KB; since mutations are split it is divided there. The comment said that it always fits.

--- a/crates/state/src/task_bitmap.rs
+++ b/crates/state/src/task_bitmap.rs
@@ -23,8 +23,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct InvalidHex;
 
-/// The number of tasks in a [`HexPart`]. Its 4096 digits fit in a value even at the smallest
-/// size limit of a store.
+/// The number of tasks in a [`HexPart`], which has 4096 digits. It is split further for a store
+/// with smaller values.
 const TASKS_PER_PART: u32 = 16_384;
 
 impl TaskBitmap {
@@ -53,7 +53,7 @@
         self.count
     }
 
-    /// The set as hexadecimal digits, in parts that each fit in a value of the store.
+    /// The set as hexadecimal digits, in parts of limited size.
     pub fn to_hex_parts(&self) -> Vec<HexPart> {
         let parts = self.bytes.chunks(TASKS_PER_PART as usize / 8).enumerate();
         parts
