Known red: jobs without an answer in an outage of the store of 100 s

Questions about unfinished jobs get 503 for longer than 90 s, while finished jobs are answered from memory.

--- a/crates/simulator/tests/fault_search.rs
+++ b/crates/simulator/tests/fault_search.rs
@@ -28,6 +28,15 @@
     }
 }
 
+/// Seed 50380 with 5 faults: in an outage of the store of 100 s, users who ask about unfinished jobs
+/// get no answer for longer than 90 s, while those who ask about finished jobs do.
+#[test]
+fn no_job_is_forgotten_in_an_outage_of_100_s() {
+    let schedule = FaultSchedule::draw(50_380, 5, FaultKind::value_variants());
+    let outcome = run_on_virtual_time(fault_search::run(&schedule)).unwrap();
+    assert!(outcome.violations.is_empty(), "{outcome:#?}");
+}
+
 /// Two runs with the same seed must record the same events, so that a violation can be
 /// reproduced from its seed.
 #[test]
