--- a/crates/simulator/tests/cluster/snapshots.rs
+++ b/crates/simulator/tests/cluster/snapshots.rs
@@ -47,16 +47,54 @@
         jobs.push(job.await);
     }
     cluster.wait_until_done(&jobs, 300).await;
-    // A snapshot may have been begun before the last job was done, so the second one counts.
+    let jobs = SmallJobs {
+        first: 10_000,
+        per_s: 1,
+        max_s: 400,
+    };
+    write_snapshot(cluster, jobs).await;
+    service
+}
+
+/// The small jobs that make a snapshot due.
+struct SmallJobs {
+    /// The number of the first job.
+    first: u32,
+    /// The number of jobs that are submitted each second.
+    per_s: u32,
+    /// The snapshot must be written in less than this time, in seconds.
+    max_s: u32,
+}
+
+/// Submits small jobs until a snapshot is written that covers the present state. A snapshot may
+/// have been begun before, so the second one counts.
+async fn write_snapshot(cluster: &mut SimulatedCluster, jobs: SmallJobs) {
     let generation = snapshot_generation(cluster);
-    let mut number = 10_000;
+    let mut waited_s = 0;
     while snapshot_generation(cluster) < generation + 2 {
-        number += 1;
-        assert!(number < 10_400, "fewer than two snapshots were written");
-        cluster.submit(number, "sweep", 1, 0.0, 1.0).await;
+        let first = jobs.first + waited_s * jobs.per_s;
+        waited_s += 1;
+        assert!(
+            waited_s < jobs.max_s,
+            "fewer than two snapshots were written"
+        );
+        for number in first..first + jobs.per_s {
+            cluster.submit(number, "sweep", 1, 0.0, 1.0).await;
+        }
         cluster.run_for(1).await;
     }
-    service
+}
+
+/// Crashes all controllers and starts them again. Fails unless the service runs afterwards.
+async fn assert_outlives_a_crash_of_all(cluster: &mut SimulatedCluster, service: &str) {
+    cluster.crash_all();
+    cluster.run_for(3).await;
+    cluster.start_all();
+    cluster.run_for(90).await;
+    assert_eq!(cluster.job_status(service).await.running, 1);
+    let machines = cluster.platform.checker().machines_of(service);
+    assert_eq!(machines.len(), 1, "the service is on no machine");
+    cluster.assert_invariants();
 }
 
 /// A chunk of a snapshot without the records of machines.
@@ -66,11 +104,8 @@
         mut mutations,
     } = codec::unframe(chunk).unwrap();
     mutations.retain(|mutation| !matches!(mutation, Mutation::MachineAdopted(_)));
-    let texts: Vec<String> = mutations
-        .iter()
-        .map(|mutation| serde_json::to_string(mutation).unwrap())
-        .collect();
-    codec::frame(previous_version, &texts.join(",")).unwrap()
+    let packed = codec::pack(&mutations, usize::MAX).unwrap();
+    codec::frame(previous_version, &packed.concat()).unwrap()
 }
 
 /// A controller that started from the snapshot did not know the machine, so placements there had
@@ -100,14 +135,7 @@
 async fn a_service_outlives_a_crash_of_all_controllers_after_a_snapshot() {
     let mut cluster = cluster(32);
     let service = fill_the_cache_of_a_machine(&mut cluster).await;
-    cluster.crash_all();
-    cluster.run_for(3).await;
-    cluster.start_all();
-    cluster.run_for(90).await;
-    assert_eq!(cluster.job_status(&service).await.running, 1);
-    let machines = cluster.platform.checker().machines_of(&service);
-    assert_eq!(machines.len(), 1, "the service is on no machine");
-    cluster.assert_invariants();
+    assert_outlives_a_crash_of_all(&mut cluster, &service).await;
 }
 
 /// An earlier version wrote a snapshot without the machine. Its tasks were neither ended nor
@@ -117,16 +145,13 @@
     let mut cluster = cluster(33);
     let service = fill_the_cache_of_a_machine(&mut cluster).await;
     let batch = cluster.submit(2, "sweep", 2, 1.0, 100.0).await;
-    let generation = snapshot_generation(&cluster);
-    let mut number = 30_000;
-    while snapshot_generation(&cluster) < generation + 2 {
-        number += 1;
-        assert!(number < 30_090, "fewer than two snapshots were written");
-        for task_number in [number, number + 100, number + 200] {
-            cluster.submit(task_number, "sweep", 1, 0.0, 1.0).await;
-        }
-        cluster.run_for(1).await;
-    }
+    // The batch job must still run when the snapshot is written.
+    let jobs = SmallJobs {
+        first: 30_000,
+        per_s: 3,
+        max_s: 90,
+    };
+    write_snapshot(&mut cluster, jobs).await;
     let machines = cluster.platform.checker().machines_of(&service);
     cluster.crash_all();
     cluster
@@ -149,10 +174,5 @@
 async fn a_snapshot_of_many_small_chunks_is_written() {
     let mut cluster = cluster_with_values_of(1.0, 34);
     let service = fill_the_cache_of_a_machine(&mut cluster).await;
-    cluster.crash_all();
-    cluster.run_for(3).await;
-    cluster.start_all();
-    cluster.run_for(90).await;
-    assert_eq!(cluster.job_status(&service).await.running, 1);
-    cluster.assert_invariants();
+    assert_outlives_a_crash_of_all(&mut cluster, &service).await;
 }
