--- a/crates/simulator/src/fault_search/schedule.rs
+++ b/crates/simulator/src/fault_search/schedule.rs
@@ -31,6 +31,9 @@
     /// Half of the workers' heartbeats arrive a second time, 2 to 60 s later.
     #[value(name = "late-reports")]
     HeartbeatsDuplicated,
+    /// Half of the direct calls that workers executed arrive a second time, 0.5 to 60 s later.
+    #[value(name = "command-copies")]
+    CommandsDuplicated,
     /// Responses and direct commands to a third of the machines are lost.
     #[value(name = "deaf-machines")]
     MachinesInboundLoss,
@@ -162,6 +165,7 @@
             FaultKind::CommitsDelayed => vec![Fault::ManyCommitsDelayed],
             FaultKind::CommitResponsesLost => vec![Fault::CommitResponsesLost],
             FaultKind::HeartbeatsDuplicated => vec![Fault::HeartbeatsDuplicated],
+            FaultKind::CommandsDuplicated => vec![Fault::CommandsDuplicated],
             FaultKind::MachinesInboundLoss => on_machines(Fault::MachineInboundLoss),
             FaultKind::MachinesFrozen => on_machines(Fault::MachineFrozen),
             FaultKind::LeaderWorkerMessagesDelayed => vec![Fault::WorkerMessagesDelayed(leader)],
--- a/crates/simulator/tests/fault_search.rs
+++ b/crates/simulator/tests/fault_search.rs
@@ -1,7 +1,7 @@
 //! Runs of the search for random combinations of faults that violate an invariant.
 
 use clap::ValueEnum;
-use rushwalk_simulator::fault_search::{self, FaultKind, FaultSchedule};
+use rushwalk_simulator::fault_search::{self, FaultEvent, FaultKind, FaultSchedule};
 use rushwalk_simulator::virtual_time::run_on_virtual_time;
 
 /// Runs seeds 1 to 36; `rushwalk-simulator search` runs other seeds.
@@ -28,11 +28,30 @@
     }
 }
 
-/// Seed 50380 with 5 faults: in an outage of the store of 100 s, users who ask about unfinished jobs
+/// Copies of answered calls to workers arrive during two other faults.
+#[test]
+fn command_copies_during_other_faults_violate_no_invariant() {
+    let copies = FaultEvent {
+        kind: FaultKind::CommandsDuplicated,
+        at_s: 40.0,
+        duration_s: 100.0,
+        target: 0,
+    };
+    for seed in 2_001..=2_036 {
+        let mut schedule = FaultSchedule::draw(seed, 2, FaultKind::value_variants());
+        schedule.events.push(copies);
+        let outcome = run_on_virtual_time(fault_search::run(&schedule)).unwrap();
+        assert!(outcome.violations.is_empty(), "{outcome:#?}");
+    }
+}
+
+/// Seed 50380 with 5 faults, drawn from all kinds but copies of calls: in an outage of the store of 100 s, users who ask about unfinished jobs
 /// get no answer for longer than 90 s, while those who ask about finished jobs do.
 #[test]
 fn no_job_is_forgotten_in_an_outage_of_100_s() {
-    let schedule = FaultSchedule::draw(50_380, 5, FaultKind::value_variants());
+    let mut kinds = FaultKind::value_variants().to_vec();
+    kinds.retain(|kind| *kind != FaultKind::CommandsDuplicated);
+    let schedule = FaultSchedule::draw(50_380, 5, &kinds);
     let outcome = run_on_virtual_time(fault_search::run(&schedule)).unwrap();
     assert!(outcome.violations.is_empty(), "{outcome:#?}");
 }
--- a/crates/testkit/src/fault.rs
+++ b/crates/testkit/src/fault.rs
@@ -38,6 +38,12 @@
     HeartbeatsDuplicated,
     /// Copies of all workers' heartbeats are kept for `SimulatedPlatform::replay_heartbeats`.
     HeartbeatsRecorded,
+    /// Each direct call whose commands a worker executed arrives at it a second time with
+    /// probability 1/2, 0.5 to 60 s later, whatever has become of its sender.
+    CommandsDuplicated,
+    /// Copies of all direct calls whose commands a worker executed are kept for
+    /// `SimulatedPlatform::replay_commands`.
+    CommandsRecorded,
     /// Heartbeats of this machine arrive; responses to them and controllers' direct requests
     /// to the machine are lost.
     MachineInboundLoss(usize),
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -5,6 +5,7 @@
 //! `store_service` and `cloud_service` serve controllers' requests to the store and the cloud.
 
 mod cloud_service;
+mod command_copies;
 mod event_log;
 mod http_response;
 mod network;
@@ -20,6 +21,7 @@
 use crate::machine_type::{DEFAULT_MACHINE_TYPE, MachineType};
 use crate::store::{Store, TransactionLimits};
 use crate::worker::Worker;
+use command_copies::CommandCopy;
 use event_log::EventLog;
 use network::NamedEndpoint;
 use rand::rngs::SmallRng;
@@ -64,6 +66,8 @@
     commit_delays: Mutex<Vec<CommitDelay>>,
     /// Bodies of the heartbeats sent while [`Fault::HeartbeatsRecorded`] was active.
     recorded_heartbeats: Mutex<Vec<Vec<u8>>>,
+    /// The calls that workers executed while [`Fault::CommandsRecorded`] was active.
+    recorded_commands: Mutex<Vec<CommandCopy>>,
     /// Machine types that can be rented.
     machine_types: Mutex<Vec<MachineType>>,
     event_log: EventLog,
@@ -99,6 +103,7 @@
             status_requests: Mutex::default(),
             commit_delays: Mutex::default(),
             recorded_heartbeats: Mutex::default(),
+            recorded_commands: Mutex::default(),
             machine_types: Mutex::new(vec![DEFAULT_MACHINE_TYPE]),
             event_log: EventLog::new(),
             worker_lease,
--- a/crates/testkit/src/platform/network.rs
+++ b/crates/testkit/src/platform/network.rs
@@ -264,7 +264,7 @@
     /// Sends a controller's direct request to the worker at an address; returns `None` if
     /// there is no response.
     async fn send_to_worker(
-        &self,
+        self: &Arc<Self>,
         controller: usize,
         to: SocketAddr,
         path: &str,
@@ -284,6 +284,9 @@
             sleep(Duration::from_millis(50)).await;
         }
         let response = self.serve_worker(machine, path, body)?;
+        if response.status == 200 {
+            self.copy_commands(machine, path, body);
+        }
         self.wait_while_delayed(controller).await;
         Some(HttpResponse::json(response.status, &response.heartbeat))
     }
@@ -304,7 +307,12 @@
 
     /// A worker's response to a direct request; `None` if the machine was deleted or the body
     /// is invalid.
-    fn serve_worker(&self, machine: usize, path: &str, body: &[u8]) -> Option<DirectResponse> {
+    pub(super) fn serve_worker(
+        &self,
+        machine: usize,
+        path: &str,
+        body: &[u8],
+    ) -> Option<DirectResponse> {
         let mut workers = self.workers();
         let worker = workers.get_mut(machine).filter(|worker| !worker.deleted)?;
         worker.advance(self, self.worker_lease);
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -172,11 +172,15 @@
     /// Starts an attempt of a task, unless the worker already knows it. A refused attempt is
     /// kept as an exited one, with the cause of the refusal.
     fn start(&mut self, platform: &SimulatedPlatform, task: &str, attempt: u64) {
-        let known = self.tasks.iter().find(|known| known.status.task == task);
-        if known.is_some_and(|known| known.status.attempt == attempt) {
+        if self
+            .tasks
+            .iter()
+            .any(|known| known.is_attempt(task, attempt))
+        {
             return;
         }
-        let busy = known.is_some_and(WorkerTask::is_active);
+        let mut same_task = self.tasks.iter().filter(|known| known.status.task == task);
+        let busy = same_task.any(WorkerTask::is_active);
         let Some(TaskId { job, index }) = TaskId::parse(task) else {
             return;
         };
