Workers: forget no attempt while a copy of its start may still be accepted

A task that failed on a machine and ran on another was started once more on the first, by a copy of a call that had been carried out and answered 2.6 s before.

Cause: the owner took 'the call was answered' for 'the call can't arrive again'. It waited with 'forget' only for calls without an answer; a worker that has forgotten an attempt accepts a start of it until it has seen a higher fencing token or is in a later session. The same check was also missing for a start in a response to a heartbeat that is still on its way (up to 4 s), and for calls that failed with a status or with too large a body; found by reading, covered by unit tests.

Change: OutstandingStarts holds the tokens and sessions under which each attempt may still be started. 'May be forgotten', 'is surely absent' and 'must be fenced' all follow from it and replace unresolved_start, last_sequence_with_starts and the checks of calls in flight. A forget that rides under a higher token than the start's is allowed at once, because the worker adopts the token before it executes the command. An advance continues the ownership (first_token), so that the evidence and the time of the ownership stay. A machine whose heartbeat lists as many tasks as fit gets no start until some are forgotten, so heartbeats stay below 64 KiB also while the token can't be advanced.

Why it works: while a start may be accepted, the worker knows the attempt, and a start of a known attempt has no effect. Once it is forgotten, the worker has adopted a higher token and refuses the start; starts of previous owners have lower tokens than the ownership's first one.

--- a/crates/rushwalk/src/shards/dispatch.rs
+++ b/crates/rushwalk/src/shards/dispatch.rs
@@ -10,10 +10,10 @@
 use crate::timing::Timing;
 use crate::workers::commands::commands;
 use crate::workers::registry::{Ownership, Sessions};
-use crate::workers::session::{CallInFlight, HeartbeatOrigin, UnresolvedStart};
+use crate::workers::session::{CallDelivery, CallInFlight, HeartbeatOrigin};
 use crate::workers::{WorkerRegistry, WorkerSession};
 use rushwalk_clients::Error;
-use rushwalk_clients::workers::WorkerClient;
+use rushwalk_clients::workers::{CommandResponse, WorkerClient};
 use rushwalk_protocol::ids::{MachineId, ShardId};
 use rushwalk_protocol::worker::{Command, CommandBatch, Heartbeat};
 use rushwalk_state::records::MachineLifecycle;
@@ -184,6 +184,7 @@
         let result = self.client.command(&call.address, &batch, timeout).await;
         let mut sessions = self.workers.sessions();
         let session = finish_call(&mut sessions, &call);
+        session.starts.finish_call(delivery(&result));
         let machine = &*call.machine;
         match result {
             Ok(response) => {
@@ -192,13 +193,6 @@
             }
             Err(Error::Unanswered(error)) => {
                 tracing::debug!(machine, error, "worker did not answer the commands");
-                let is_start = |command: &Command| matches!(command, Command::Run { .. });
-                if batch.commands.iter().any(is_start) {
-                    session.mark_unresolved_start(UnresolvedStart {
-                        token: batch.token,
-                        session: batch.session,
-                    });
-                }
             }
             Err(error) => tracing::debug!(machine, %error, "sending commands failed"),
         }
@@ -246,6 +240,14 @@
     }
 }
 
+/// Whether a call with this result may have arrived at the worker.
+fn delivery(result: &Result<CommandResponse, Error>) -> CallDelivery {
+    match result {
+        Err(Error::NotSent(_) | Error::ConnectionRefused) => CallDelivery::NotSent,
+        _ => CallDelivery::MayArrive,
+    }
+}
+
 /// Records the end of a call, whether or not it succeeded, and returns the machine's session.
 fn finish_call<'a>(sessions: &'a mut Sessions, call: &WorkerCall) -> &'a mut WorkerSession {
     sessions.changed.insert(call.machine.clone());
@@ -321,5 +323,6 @@
         session: session.session,
         commands,
     };
+    session.starts.record_call(&batch);
     Action::Command(worker_call(session, id, machine), batch)
 }
--- a/crates/rushwalk/src/shards/outcomes.rs
+++ b/crates/rushwalk/src/shards/outcomes.rs
@@ -117,12 +117,12 @@
     }
 
     /// Whether messages arrive in both directions: the machine is in contact, and its
-    /// heartbeats carry the current token, which it can only have received from this owner.
+    /// heartbeats carry a token that it can only have received from this owner.
     /// When contact alone counted, new owners took a machine that receives no responses to be
     /// healthy, and gave it work.
     fn is_reachable_both_ways(&self, session: &WorkerSession) -> bool {
         let last_contact = session.last_contact;
-        session.token >= self.token
+        session.has_seen_ownership(self.token)
             && last_contact.is_some_and(|at| at.elapsed() <= self.timing.unreachable_after)
     }
 
@@ -230,7 +230,7 @@
         // is moved to another machine.
         let is_unreachable = self.machine.record.unreachable_since_ms.is_some();
         let will_not_start = must_not_start || has_ended || is_unreachable;
-        will_not_start && session.proves_absence(self.token)
+        will_not_start && session.proves_absence(attempt, self.token)
             || session.heartbeats_show_lease_expiry(self.token)
     }
 
--- a/crates/rushwalk/src/workers/commands.rs
+++ b/crates/rushwalk/src/workers/commands.rs
@@ -21,6 +21,13 @@
 /// others follow in the next message.
 const MAX_COMMANDS: usize = MAX_BODY / COMMAND_BYTES - 1;
 
+/// The size of a task's entry in a heartbeat is at most this, in bytes.
+const REPORTED_TASK_BYTES: usize = 128;
+
+/// The number of tasks in a heartbeat, exited ones included, so that it stays within the size limit
+/// of the protocol. No further task is started on a machine that reports as many.
+const MAX_REPORTED_TASKS: usize = MAX_BODY / REPORTED_TASK_BYTES - 4;
+
 /// The commands for a machine whose shard this process owns under the fencing token `token`, at
 /// most [`MAX_COMMANDS`].
 pub(crate) fn commands(
@@ -40,13 +47,22 @@
     }
     for reported in &session.tasks {
         if !is_wanted(state, machine, reported) {
-            commands.extend(command_for_unwanted(session, token, &reported.status));
+            commands.extend(command_for_unwanted(session, token, reported));
         }
     }
+    let mut free_entries = MAX_REPORTED_TASKS.saturating_sub(session.tasks.len());
+    commands.retain(|command| start_of(command).is_none() || take_one(&mut free_entries));
     commands.truncate(MAX_COMMANDS);
     commands
 }
 
+/// Takes one of the free entries; false if none is left.
+fn take_one(free_entries: &mut usize) -> bool {
+    let is_free = *free_entries > 0;
+    *free_entries = free_entries.saturating_sub(1);
+    is_free
+}
+
 /// The start in a command; `None` for commands of another kind.
 pub(crate) fn start_of(command: &Command) -> Option<SentStart> {
     match command {
@@ -112,23 +128,31 @@
     task.record.attempt == reported.status.attempt && task.record.machine.as_ref() == Some(machine)
 }
 
-/// The command for a reported attempt that the state does not place on the machine.
+/// The command for a reported attempt that the state does not place on the machine. An exited
+/// attempt stays known to the worker as long as a copy of its start may arrive.
 fn command_for_unwanted(
     session: &WorkerSession,
     token: Revision,
-    status: &TaskStatus,
+    reported: &ReportedTask,
 ) -> Option<Command> {
-    let task = status.task.clone();
-    let attempt = status.attempt;
-    if status.phase != TaskPhase::Exited {
+    let TaskStatus {
+        task,
+        attempt,
+        phase,
+        ..
+    } = reported.status.clone();
+    if phase != TaskPhase::Exited {
         return Some(Command::Stop {
             task,
             attempt,
             grace_s: 0.0,
         });
     }
-    // A worker that has forgotten an attempt would start it again on a start command that
-    // arrives late, so no attempt is forgotten while such a command may still arrive.
-    let is_resolved = session.unresolved_start.is_none() && session.call_in_flight.is_none();
-    (is_resolved && session.token <= token).then_some(Command::Forget { task, attempt })
+    let attempt_id = AttemptId {
+        task: reported.task.clone(),
+        attempt,
+    };
+    session
+        .may_forget(&attempt_id, token)
+        .then_some(Command::Forget { task, attempt })
 }
--- a/crates/rushwalk/src/workers/commands/tests.rs
+++ b/crates/rushwalk/src/workers/commands/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
+use crate::workers::session::HeartbeatOrigin;
 use rushwalk_protocol::jobs::JobSpec;
-use rushwalk_protocol::worker::CommandBatch;
+use rushwalk_protocol::worker::{CommandBatch, ExitCause, Heartbeat};
 use rushwalk_scheduler::durations::DurationEstimator;
 use rushwalk_state::Mutation;
 use rushwalk_state::mutation::{
@@ -75,3 +76,39 @@
     let bytes = serde_json::to_string(&message).unwrap().len();
     assert!(bytes <= MAX_BODY, "{bytes}");
 }
+
+/// Attempts that a worker has to keep fill its heartbeat; further starts must wait.
+#[test]
+fn no_task_is_started_on_a_machine_whose_heartbeat_can_list_no_more() {
+    let job = format!("j-{:0>20}", 1);
+    let state = state_with_many_tasks(&job, "m-1");
+    let machine = MachineId::from("m-1");
+    let exited = |index: u64| {
+        let task = format!("{job}/{index}");
+        TaskStatus {
+            task,
+            attempt: u64::MAX - 1,
+            phase: TaskPhase::Exited,
+            exit_cause: Some(ExitCause::Stopped),
+            saved: Some(false),
+        }
+    };
+    let mut heartbeat: Heartbeat =
+        serde_json::from_str(r#"{"rig":"m-1","stint":1,"tally":1}"#).expect("a heartbeat");
+    for kept in [
+        MAX_REPORTED_TASKS - 5,
+        MAX_REPORTED_TASKS,
+        2 * MAX_REPORTED_TASKS,
+    ] {
+        heartbeat.sequence += 1;
+        heartbeat.tasks = (0..kept as u64).map(exited).collect();
+        let mut session = WorkerSession::default();
+        session.apply_heartbeat(&heartbeat, HeartbeatOrigin::Worker);
+        let commands = commands(&state, &session, &machine, Revision::MAX);
+        let starts = commands.iter().filter(|c| start_of(c).is_some()).count();
+        assert_eq!(starts, MAX_REPORTED_TASKS.saturating_sub(kept));
+    }
+    heartbeat.tasks.truncate(MAX_REPORTED_TASKS);
+    let bytes = serde_json::to_string(&heartbeat).unwrap().len();
+    assert!(bytes <= MAX_BODY, "{bytes}");
+}
--- a/crates/rushwalk/src/workers/registry.rs
+++ b/crates/rushwalk/src/workers/registry.rs
@@ -14,6 +14,9 @@
 pub struct Ownership {
     /// Fencing token: the version of the shard lease.
     pub token: Revision,
+    /// The token with which the ownership began. Until `token`, this process advanced it itself,
+    /// and no other controller owned the shard in between.
+    pub first_token: Revision,
     /// When this process noticed that it owns the shard, which may be later than the commit
     /// of the lease.
     pub since: Instant,
@@ -24,9 +27,23 @@
     pub fn new(token: Revision) -> Ownership {
         Ownership {
             token,
+            first_token: token,
             since: Instant::now(),
         }
     }
+
+    /// The same ownership after this process has advanced the token.
+    pub(super) fn advanced_to(self, token: Revision) -> Ownership {
+        Ownership { token, ..self }
+    }
+}
+
+/// The ownership of a shard and of those of its machines that were examined under it.
+#[derive(Debug)]
+pub struct ShardOwnership {
+    shard: ShardId,
+    owned: Option<Ownership>,
+    machines: Vec<(MachineId, Ownership)>,
 }
 
 /// The worker sessions and the contact times of shards.
@@ -55,6 +72,40 @@
             .insert(shard.clone(), Instant::now());
     }
 
+    /// The ownerships of a shard and of its machines under `token`, see
+    /// [`Self::continue_ownership`].
+    pub fn shard_ownership<'a>(
+        &self,
+        shard: &ShardId,
+        machines: impl Iterator<Item = &'a MachineId>,
+        token: Revision,
+    ) -> ShardOwnership {
+        let owned = self.owned_shards.get(shard).copied();
+        let of_machine = |machine: &MachineId| self.by_machine.get(machine)?.owned;
+        let machines = machines.filter_map(|machine| Some((machine.clone(), of_machine(machine)?)));
+        ShardOwnership {
+            shard: shard.clone(),
+            owned: owned.filter(|owned| owned.token == token),
+            machines: machines.filter(|(_, owned)| owned.token == token).collect(),
+        }
+    }
+
+    /// Continues ownerships under `token`, to which this process has advanced the shard's token.
+    /// The replica may have shown the new token already, as if a new ownership had begun.
+    pub fn continue_ownership(&mut self, before: ShardOwnership, token: Revision) {
+        if let Some(owned) = before.owned {
+            self.owned_shards
+                .insert(before.shard, owned.advanced_to(token));
+        }
+        for (machine, owned) in before.machines {
+            if let Some(session) = self.by_machine.get_mut(&machine)
+                && session.owned.is_some_and(|now| now.token <= token)
+            {
+                session.owned = Some(owned.advanced_to(token));
+            }
+        }
+    }
+
     /// Drops the sessions of machines that no longer exist, if there are more sessions than
     /// machines.
     pub fn retain_known(&mut self, state: &ClusterState) {
--- a/crates/rushwalk/src/workers/session.rs
+++ b/crates/rushwalk/src/workers/session.rs
@@ -6,16 +6,18 @@
 //! certainly expired.
 
 mod calls;
+mod outstanding_starts;
 #[cfg(test)]
 mod tests;
 
-pub use calls::{CallInFlight, SentStart, UnresolvedStart};
+pub use calls::{CallInFlight, SentStart};
+pub use outstanding_starts::{CallDelivery, OutstandingStarts};
 
 use super::registry::Ownership;
 use crate::clock::now_ms;
 use crate::timing::Timing;
 use rushwalk_protocol::ids::{AttemptId, TaskId};
-use rushwalk_protocol::worker::{Heartbeat, TaskStatus};
+use rushwalk_protocol::worker::{Heartbeat, TaskPhase, TaskStatus};
 use rushwalk_state::{Revision, UnixMillis};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -80,10 +82,9 @@
     pub reclaim_ms: Option<UnixMillis>,
     /// All tasks in the newest heartbeat.
     pub tasks: Vec<ReportedTask>,
-    /// A start that the worker may still execute; `None` once a heartbeat shows a later
-    /// token or session. While it is set, a task that is missing from the heartbeats may
-    /// still start, and the worker is not commanded to forget exited attempts.
-    pub unresolved_start: Option<UnresolvedStart>,
+    /// The starts that the worker may still accept. Until it refuses them, an attempt that is
+    /// missing from the heartbeats may still start, and an exited one is not to be forgotten.
+    pub starts: OutstandingStarts,
     /// The call to the worker's own address that has not ended yet.
     pub call_in_flight: Option<CallInFlight>,
     /// Attempts whose end this controller has submitted to be committed. It never starts them
@@ -93,10 +94,6 @@
     /// Whether the log already says that the machine is unreachable; reset by the next
     /// heartbeat. Avoids repeated entries while the state can't be committed.
     pub unreachable_logged: bool,
-    /// Sequence number of the latest heartbeat whose response carried starts; `None` once a
-    /// later heartbeat shows their effect. A heartbeat up to this number was sent before the
-    /// response and does not show it.
-    last_sequence_with_starts: Option<u64>,
     /// When a response that may have renewed the worker's lease was last sent. The lease
     /// counts from when the answered heartbeat was sent. Not included are the response in
     /// `unconfirmed` and those that the next heartbeat showed to be lost.
@@ -132,12 +129,13 @@
             HeartbeatOrigin::Worker => {
                 self.last_heartbeat = Some(Instant::now());
                 self.check_unconfirmed(heartbeat);
-                if self.shows_effect_of_starts(heartbeat) {
-                    self.last_sequence_with_starts = None;
-                }
+                self.starts.drop_shown_response(heartbeat.sequence);
             }
             HeartbeatOrigin::Call => self.undelivered_since = None,
         }
+        if heartbeat.session > self.session {
+            self.starts.drop_response();
+        }
         self.session = heartbeat.session;
         self.sequence = heartbeat.sequence;
         self.token = self.token.max(heartbeat.token);
@@ -147,11 +145,7 @@
         {
             self.expired_under_token = None;
         }
-        if let Some(start) = self.unresolved_start
-            && (self.token > start.token || self.session > start.session)
-        {
-            self.unresolved_start = None;
-        }
+        self.starts.drop_refused(self.token, self.session);
         self.last_contact = Some(Instant::now());
         self.unreachable_logged = false;
         if !heartbeat.address.is_empty() && self.address != heartbeat.address {
@@ -165,11 +159,6 @@
         true
     }
 
-    fn shows_effect_of_starts(&self, heartbeat: &Heartbeat) -> bool {
-        let is_later = |answered: u64| heartbeat.sequence > answered;
-        heartbeat.session > self.session || self.last_sequence_with_starts.is_some_and(is_later)
-    }
-
     /// Derives from a new heartbeat whether the worker received the response to the one
     /// before it. A worker has one heartbeat in flight at a time, and its next heartbeat
     /// carries the token of the response that it received.
@@ -225,11 +214,6 @@
         self.undelivered_since.is_some()
     }
 
-    /// Whether a call with commands is in flight, which may include starts.
-    fn command_in_flight(&self) -> bool {
-        self.call_in_flight == Some(CallInFlight::Commands)
-    }
-
     /// When this process noticed that it owns the worker's shard under `token`; `None` if it does
     /// not own the shard under that token.
     fn owned_under(&self, token: Revision) -> Option<Instant> {
@@ -272,7 +256,7 @@
         start: Option<SentStart>,
     ) {
         if start.is_some() {
-            self.last_sequence_with_starts = Some(heartbeat.sequence);
+            self.starts.record_response(token, heartbeat.sequence);
         }
         let sent = Instant::now();
         if !is_newer {
@@ -296,8 +280,8 @@
     /// [`Timing::lease_validity`] after this process came to own the shard. Once the worker's
     /// lease has expired after the later of these times, any worker session in which a previous
     /// owner can have sent commands has ended too. Then no task that runs now was started by a
-    /// previous owner. None was started by this owner either, unless a call to the worker's own
-    /// address is unresolved.
+    /// previous owner. None was started by this owner either, unless the worker may still accept a
+    /// call with a start.
     fn check_lease_expiry(&mut self, token: Revision, timing: &Timing) {
         let Some(since) = self.owned_under(token) else {
             return;
@@ -305,8 +289,7 @@
         let last_possible_renewal =
             (since + timing.lease_validity).max(self.lease_renewed.unwrap_or(since));
         let has_expired = last_possible_renewal.elapsed() > surely_expired_after(timing);
-        let is_resolved = !self.command_in_flight() && self.unresolved_start.is_none();
-        if has_expired && self.token < token && is_resolved {
+        if has_expired && self.token < token && !self.starts.has_calls() {
             self.expired_under_token = Some(token);
         }
     }
@@ -357,22 +340,44 @@
         reported.map(|t| &t.status)
     }
 
-    /// Whether a task that is missing from the newest heartbeat is certainly not on the machine:
-    /// the worker has seen `token`, and no start sent to it may still take effect.
-    pub fn proves_absence(&self, token: Revision) -> bool {
+    /// Whether an attempt that is missing from the newest heartbeat is certainly not on the
+    /// machine: the worker refuses the commands of previous owners, and accepts no start of the
+    /// attempt any more.
+    pub fn proves_absence(&self, attempt: &AttemptId, token: Revision) -> bool {
         self.last_contact.is_some()
-            && self.token == token
-            && !self.command_in_flight()
-            && self.last_sequence_with_starts.is_none()
-            && self.unresolved_start.is_none()
+            && self.has_seen_ownership(token)
+            && !self.starts.may_start(attempt, self.token)
     }
 
-    /// Records that a call with a start was not answered, unless the worker already shows a
-    /// later session or token, in which it refuses the start.
-    pub fn mark_unresolved_start(&mut self, start: UnresolvedStart) {
-        if self.session <= start.session && self.token <= start.token {
-            self.unresolved_start = Some(start);
-        }
+    /// Whether the worker has seen `token`, or an earlier token of the same ownership.
+    pub fn has_seen_ownership(&self, token: Revision) -> bool {
+        let owned = self.owned.filter(|owned| owned.token == token);
+        let first_token = owned.map_or(token, |owned| owned.first_token);
+        (first_token..=token).contains(&self.token)
+    }
+
+    /// Whether the worker may be commanded under `token` to forget an exited attempt: it then
+    /// accepts no start of the attempt any more.
+    pub fn may_forget(&self, attempt: &AttemptId, token: Revision) -> bool {
+        self.token <= token && !self.starts.may_start(attempt, token)
+    }
+
+    /// Whether a call with a start that is not known to have been executed may still be accepted
+    /// under `token`.
+    pub fn has_unresolved_start(&self, token: Revision) -> bool {
+        let mut attempts = self.starts.attempts_of_ended_calls(token);
+        attempts.any(|attempt| self.reported(attempt).is_none())
+    }
+
+    /// Number of exited attempts that the worker has to keep until the token advances beyond
+    /// `token`.
+    pub fn kept_attempts(&self, token: Revision) -> usize {
+        let attempts = self.starts.attempts_of_ended_calls(token);
+        let has_exited = |attempt: &&AttemptId| {
+            let status = self.reported(attempt);
+            status.is_some_and(|status| status.phase == TaskPhase::Exited)
+        };
+        attempts.filter(has_exited).count()
     }
 }
 
--- a/crates/rushwalk/src/workers/session/calls.rs
+++ b/crates/rushwalk/src/workers/session/calls.rs
@@ -1,17 +1,7 @@
-//! Calls to a worker's own address, and start commands that a worker may or may not execute.
+//! Calls to a worker's own address, and start commands in responses to heartbeats.
 
 use rushwalk_state::Revision;
 
-/// A start command in a call to a worker's own address that was not answered. The worker
-/// may still execute it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct UnresolvedStart {
-    /// Fencing token of the command batch.
-    pub token: Revision,
-    /// Worker session of the command batch; in a later session the worker ignores it.
-    pub session: u64,
-}
-
 /// Kind of a call to a worker's own address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallInFlight {
--- a/crates/rushwalk/src/workers/session/tests.rs
+++ b/crates/rushwalk/src/workers/session/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use rushwalk_protocol::settings::Settings;
+use rushwalk_protocol::worker::{Command, CommandBatch};
 use std::time::Duration;
 use tokio::time::advance;
 
@@ -16,7 +17,11 @@
 }
 
 fn owned_since(token: u64, since: Instant) -> Option<Ownership> {
-    Some(Ownership { token, since })
+    Some(Ownership {
+        token,
+        first_token: token,
+        since,
+    })
 }
 
 fn owned_session(token: u64) -> WorkerSession {
@@ -26,6 +31,25 @@
     }
 }
 
+/// A call under a token that starts attempt 4 of the task `j-1/0` in the worker's first session.
+fn call_with_start(token: u64) -> CommandBatch {
+    CommandBatch {
+        token,
+        session: 1,
+        commands: vec![Command::Run {
+            task: "j-1/0".into(),
+            attempt: 4,
+        }],
+    }
+}
+
+fn started_attempt() -> AttemptId {
+    AttemptId {
+        task: TaskId::parse("j-1/0").unwrap(),
+        attempt: 4,
+    }
+}
+
 /// A task that is declared lost before its worker's lease has expired may run twice.
 #[tokio::test(start_paused = true)]
 async fn lease_has_surely_expired_only_when_no_owner_can_have_renewed_it() {
@@ -114,16 +138,14 @@
     );
     session.record_response(&heartbeat(7, 7), true, 9, None);
     advance(SECOND).await;
-    session.unresolved_start = Some(UnresolvedStart {
-        token: 9,
-        session: 1,
-    });
+    session.starts.record_call(&call_with_start(9));
+    session.starts.finish_call(CallDelivery::MayArrive);
     session.receive(&heartbeat(8, 7), 9, &timing);
     assert!(
         !session.heartbeats_show_lease_expiry(9),
         "a start is unresolved"
     );
-    session.unresolved_start = None;
+    session.starts = OutstandingStarts::default();
     session.receive(&heartbeat(9, 7), 9, &timing);
     assert!(session.heartbeats_show_lease_expiry(9));
 }
@@ -158,3 +180,63 @@
         "it sends heartbeats again"
     );
 }
+
+/// An answered call may be copied, one that was not sent can't arrive.
+#[tokio::test(start_paused = true)]
+async fn an_attempt_may_start_until_the_worker_refuses_its_calls() {
+    let attempt = started_attempt();
+    let mut session = owned_session(7);
+    session.starts.record_call(&call_with_start(7));
+    assert!(!session.may_forget(&attempt, 7), "the call is in flight");
+    session.starts.finish_call(CallDelivery::NotSent);
+    assert!(session.may_forget(&attempt, 7));
+    session.starts.record_call(&call_with_start(7));
+    session.starts.finish_call(CallDelivery::MayArrive);
+    session.apply_heartbeat(&heartbeat(5, 7), HeartbeatOrigin::Call);
+    assert!(!session.may_forget(&attempt, 7), "a copy may arrive");
+    assert!(!session.proves_absence(&attempt, 7));
+    assert!(
+        session.may_forget(&attempt, 8),
+        "the worker adopts the token before it forgets the attempt"
+    );
+    session.apply_heartbeat(&heartbeat(6, 8), HeartbeatOrigin::Worker);
+    session.owned = owned_since(8, Instant::now());
+    assert!(session.proves_absence(&attempt, 8));
+}
+
+/// The worker may drop a response or accept it until it sends its next heartbeat.
+#[tokio::test(start_paused = true)]
+async fn an_attempt_may_start_until_its_response_has_been_received_or_dropped() {
+    let attempt = started_attempt();
+    let start = SentStart {
+        task: "j-1/0".into(),
+        attempt: 4,
+    };
+    let mut session = owned_session(7);
+    session.apply_heartbeat(&heartbeat(5, 7), HeartbeatOrigin::Worker);
+    session.record_response(&heartbeat(5, 7), true, 7, Some(start));
+    session.apply_heartbeat(&heartbeat(6, 7), HeartbeatOrigin::Call);
+    assert!(!session.may_forget(&attempt, 7));
+    assert!(!session.proves_absence(&attempt, 7));
+    session.apply_heartbeat(&heartbeat(7, 7), HeartbeatOrigin::Worker);
+    assert!(session.may_forget(&attempt, 7));
+    assert!(session.proves_absence(&attempt, 7));
+}
+
+/// Advancing its token must not delay what an owner derives from the time of its ownership.
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_advances_its_token_keeps_the_time_and_the_evidence_of_its_ownership() {
+    let timing = timing();
+    let mut session = owned_session(7);
+    session.apply_heartbeat(&heartbeat(5, 7), HeartbeatOrigin::Worker);
+    advance(timing.worker_lease + timing.lease_validity + 2 * SECOND).await;
+    session.owned = session.owned.map(|owned| owned.advanced_to(9));
+    assert!(session.lease_must_have_expired(9, &timing));
+    assert!(session.has_outbound_loss(9, &timing));
+    assert!(session.proves_absence(&started_attempt(), 9));
+    session.owned = owned_since(9, Instant::now());
+    assert!(
+        !session.proves_absence(&started_attempt(), 9),
+        "a previous owner may have started it"
+    );
+}
--- a/crates/simulator/tests/command_copies.rs
+++ b/crates/simulator/tests/command_copies.rs
@@ -164,12 +164,13 @@
         cluster.cancel(&job).await;
         cluster.run_for(6).await;
         cluster.platform.inject_each(fault, &machines);
-        let started = cluster.platform.checker().started;
+        let started = cluster.platform.checker().starts_by_job[&job];
         assert!(cluster.platform.replay_commands().await > 0);
         cluster.run_for(held_s).await;
         cluster.platform.clear_each(fault, &machines);
         cluster.run_for(15).await;
-        assert_eq!(cluster.platform.checker().started, started);
+        let restarted = cluster.platform.checker().starts_by_job[&job] - started;
+        assert_eq!(restarted, 0, "tasks were started by a copy");
         cluster.assert_invariants();
     }
 }
@@ -241,6 +242,7 @@
         for at_once in [true, false] {
             let mut cluster = recording_cluster(seed).await;
             let job = submit_and_move_off_first_machine(&mut cluster, "standing", 2).await;
+            let started = cluster.platform.checker().starts_by_job[&job];
             let groups = if at_once {
                 vec![vec![0, 1, 2]]
             } else {
@@ -258,7 +260,8 @@
             cluster.platform.replay_commands().await;
             cluster.run_for(12).await;
             assert_eq!(cluster.job_status(&job).await.running, 2);
-            assert_eq!(cluster.platform.checker().started, 3);
+            let restarted = cluster.platform.checker().starts_by_job[&job] - started;
+            assert_eq!(restarted, 0, "tasks were started by a copy");
             cluster.assert_invariants();
         }
     }
