Observability: why a worker was commanded, and which right that followed from

Added log lines at the level info: the commands of each call and response with token, session, revision and the age of the last read; shards owned and no longer owned, with token; shard leases that may not be acted on because the store was not read; the exit of an attempt that was never seen running, and an attempt on a machine on which the state does not place it, with machine, attempt and token.

The usage report adds a line: advances of fencing tokens, the most exited attempts that a worker had to keep, and the bytes of the largest heartbeat. One more case of the tests for copies: the machine is away for a second.

--- a/crates/rushwalk/src/controller/background_loops.rs
+++ b/crates/rushwalk/src/controller/background_loops.rs
@@ -178,6 +178,7 @@
             connections: controller.connections.clone(),
             runtime_lag: controller.runtime_lag.clone(),
             work_profile: controller.work_profile.clone(),
+            workers: controller.workers.clone(),
         }
     }
 
--- a/crates/rushwalk/src/http/public.rs
+++ b/crates/rushwalk/src/http/public.rs
@@ -74,6 +74,10 @@
         Err(response) => return response,
     };
     let user_requests = &api.user_requests;
+    api.heartbeats
+        .workers
+        .events()
+        .heartbeat_received(body.len());
     let mut timer = user_requests.work_profile.start(WorkKind::Heartbeat);
     timer.add_items(1);
     let heartbeat: Heartbeat = match serde_json::from_slice(&body) {
--- a/crates/rushwalk/src/reporting/usage.rs
+++ b/crates/rushwalk/src/reporting/usage.rs
@@ -6,6 +6,7 @@
 use crate::observability::runtime_lag::RuntimeLag;
 use crate::observability::work_profile::WorkProfile;
 use crate::store::Replica;
+use crate::workers::WorkerRegistry;
 use std::sync::Arc;
 use tokio::time::sleep;
 
@@ -21,6 +22,8 @@
     pub runtime_lag: Arc<RuntimeLag>,
     /// Time spent on each kind of work since the start of the process.
     pub work_profile: Arc<WorkProfile>,
+    /// Worker sessions, with the figures about workers since the start of the process.
+    pub workers: Arc<WorkerRegistry>,
 }
 
 impl UsageReport {
@@ -29,6 +32,7 @@
         loop {
             sleep(self.context.timing.worker_lease).await;
             self.log_load();
+            self.log_workers();
             self.log_least_served();
         }
     }
@@ -52,6 +56,16 @@
         );
     }
 
+    fn log_workers(&self) {
+        let figures = self.workers.events().figures();
+        tracing::info!(
+            token_advances = figures.token_advances,
+            most_kept_attempts = figures.most_kept_attempts,
+            largest_heartbeat_bytes = figures.largest_heartbeat_bytes,
+            "worker figures"
+        );
+    }
+
     fn log_least_served(&self) {
         let state = self.replica.state();
         let counts = &state.service_counts;
--- a/crates/rushwalk/src/shards/dispatch.rs
+++ b/crates/rushwalk/src/shards/dispatch.rs
@@ -6,6 +6,7 @@
 
 use crate::context::Context;
 use crate::observability::runtime_lag::RuntimeLag;
+use crate::observability::worker_events::SentCommands;
 use crate::store::Replica;
 use crate::timing::Timing;
 use crate::workers::commands::commands;
@@ -117,6 +118,7 @@
                     tokio::spawn(self.clone().probe(call));
                 }
                 Action::Command(call, batch) => {
+                    self.log_call(&state, &call, &batch);
                     tokio::spawn(self.clone().command(call, batch));
                 }
             }
@@ -124,6 +126,17 @@
         retry
     }
 
+    fn log_call(&self, state: &ClusterState, call: &WorkerCall, batch: &CommandBatch) {
+        self.workers.events().commands_sent(SentCommands {
+            machine: &call.machine,
+            token: batch.token,
+            session: batch.session,
+            commands: &batch.commands,
+            revision: state.revision,
+            read_age: self.replica.staleness(),
+        });
+    }
+
     /// Limits the probes of a tick to twice the number of heartbeats that the owned machines
     /// send in a tick, but at least [`MIN_PROBES`]. Without the limit, an owner that takes over
     /// a thousand machines would probe all of them in one tick, though most send a heartbeat
--- a/crates/rushwalk/src/shards/fencing.rs
+++ b/crates/rushwalk/src/shards/fencing.rs
@@ -97,7 +97,9 @@
             let Some(token) = owned.get(shard) else {
                 continue;
             };
-            if let Some(reason) = fencing_reason(machine, session, *token) {
+            let kept = session.kept_attempts(*token);
+            self.workers.events().attempts_kept(kept);
+            if let Some(reason) = fencing_reason(machine, session, *token, kept) {
                 let known = reasons.entry(shard).or_insert(reason);
                 *known = reason.max(*known);
             }
@@ -144,6 +146,7 @@
             self.workers
                 .sessions()
                 .continue_ownership(before, new_token);
+            self.workers.events().token_advanced();
         }
     }
 }
@@ -151,22 +154,24 @@
 /// Why the token of a machine's shard is to be advanced; `None` if it needs not be. There is no
 /// need if the machine is being deleted or is unreachable: the deletion ends its tasks, and on an
 /// unreachable machine they end with its worker lease. An unresolved start matters only if a task is
-/// placed there whose absence may have to be proved.
+/// placed there whose absence may have to be proved. `kept` is the number of exited attempts that
+/// the worker has to keep.
 fn fencing_reason(
     machine: &MachineState,
     session: &WorkerSession,
     token: Revision,
+    kept: usize,
 ) -> Option<FencingReason> {
     let record = &machine.record;
     if record.unreachable_since_ms.is_some() || record.lifecycle == MachineLifecycle::Deleting {
         return None;
     }
-    match session.kept_attempts(token) {
+    match kept {
         0 if machine.tasks.is_empty() => None,
         0 => session
             .has_unresolved_start(token)
             .then_some(FencingReason::UnresolvedStart),
-        kept if kept >= MANY_KEPT_ATTEMPTS => Some(FencingReason::ManyKeptAttempts),
+        _ if kept >= MANY_KEPT_ATTEMPTS => Some(FencingReason::ManyKeptAttempts),
         _ if session.has_unresolved_start(token) => Some(FencingReason::UnresolvedStart),
         _ => Some(FencingReason::KeptAttempts),
     }
--- a/crates/rushwalk/src/shards/outcomes.rs
+++ b/crates/rushwalk/src/shards/outcomes.rs
@@ -2,9 +2,12 @@
 
 use super::findings::HeartbeatFindings;
 use crate::clock::now_ms;
+use crate::observability::worker_events::WorkerEvents;
 use crate::timing::Timing;
 use crate::workers::WorkerSession;
+use crate::workers::commands::is_wanted;
 use crate::workers::registry::Sessions;
+use crate::workers::session::ReportedTask;
 use rushwalk_protocol::ids::{AttemptId, MachineId, ShardId};
 use rushwalk_protocol::worker::{ExitCause, TaskPhase, TaskStatus};
 use rushwalk_state::records::{AttemptOutcome, JobPhase};
@@ -21,6 +24,7 @@
     owned: &BTreeMap<ShardId, Revision>,
     machines: &BTreeSet<MachineId>,
     timing: &Timing,
+    events: &WorkerEvents,
 ) -> Vec<Mutation> {
     let mut findings = HeartbeatFindings::default();
     for id in machines {
@@ -39,6 +43,7 @@
             id,
             machine,
             token,
+            events,
         };
         observer.observe_machine(session, &mut findings);
         observer.observe_tasks(session, &mut findings);
@@ -54,6 +59,7 @@
     machine: &'a MachineState,
     /// Fencing token under which this process owns the machine's shard.
     token: Revision,
+    events: &'a WorkerEvents,
 }
 
 /// Change to a placed task that a heartbeat, or its absence, shows.
@@ -128,6 +134,7 @@
 
     fn observe_tasks(&self, session: &mut WorkerSession, findings: &mut HeartbeatFindings) {
         self.forget_ended_attempts(session);
+        self.log_unplaced_attempts(session);
         let is_unreachable = self.machine.record.unreachable_since_ms.is_some();
         let is_lost = is_unreachable && session.lease_must_have_expired(self.token, self.timing);
         for id in &self.machine.tasks {
@@ -149,6 +156,23 @@
         }
     }
 
+    /// Logs the attempts on the machine that the state does not place there, once for each
+    /// heartbeat.
+    fn log_unplaced_attempts(&self, session: &WorkerSession) {
+        let is_unplaced = |reported: &&ReportedTask| {
+            reported.status.phase != TaskPhase::Exited && !is_wanted(self.state, self.id, reported)
+        };
+        for unplaced in session.tasks.iter().filter(is_unplaced) {
+            let status = &unplaced.status;
+            let attempt = AttemptId {
+                task: unplaced.task.clone(),
+                attempt: status.attempt,
+            };
+            self.events
+                .unplaced_attempt(self.id, &attempt, self.token, status.phase);
+        }
+    }
+
     /// Drops ended attempts that are no longer the current attempt of their task.
     fn forget_ended_attempts(&self, session: &mut WorkerSession) {
         session.ended_attempts.retain(|ended| {
@@ -170,6 +194,11 @@
         let id = &attempt.task;
         match session.reported(attempt) {
             Some(status) if status.phase == TaskPhase::Exited => {
+                if task.record.started_ms.is_none() {
+                    let cause = status.exit_cause;
+                    self.events
+                        .exit_never_running(self.id, attempt, self.token, cause);
+                }
                 TaskTransition::Ended(self.outcome_of_exit(status))
             }
             _ if is_lost => {
--- a/crates/rushwalk/src/shards/reconciler.rs
+++ b/crates/rushwalk/src/shards/reconciler.rs
@@ -60,6 +60,7 @@
         loop {
             sleep(interval).await;
             if !self.replica.shard_leases_valid() {
+                self.log_lapse(&mut tick);
                 tick.last_full_scan = None;
                 continue;
             }
@@ -76,6 +77,21 @@
         }
     }
 
+    /// Logs that this process may not act on its shard leases any more, because it could not read
+    /// the store for too long.
+    fn log_lapse(&self, tick: &mut TickState) {
+        let lapsed = std::mem::take(&mut tick.scanned_shards);
+        if !lapsed.is_empty() {
+            let read_age_ms = self.replica.staleness().as_millis() as u64;
+            let shards = lapsed.len();
+            tracing::info!(
+                shards,
+                read_age_ms,
+                "shard leases not valid: the store was not read"
+            );
+        }
+    }
+
     /// Collects the machines to examine in this tick, and returns the owned shards. Every tick
     /// examines the machines whose tasks or sessions changed. Once per scheduling round, and
     /// when the owned shards change, it scans the owned machines and also examines those that
@@ -96,6 +112,7 @@
         if is_full || tick.scanned_shards != owned {
             sessions.retain_known(&state);
             self.add_due_machines(&state, &sessions, &owned, &mut tick.changed);
+            self.log_ownership(&tick.scanned_shards, &owned, state.revision);
             tick.scanned_shards.clone_from(&owned);
         }
         timer.add_items(tick.changed.len());
@@ -105,6 +122,39 @@
             .collect()
     }
 
+    /// Logs which shards this process owns under a token that it did not own them under before, and
+    /// which it owns no longer, with what the store was read for that.
+    fn log_ownership(
+        &self,
+        before: &BTreeMap<ShardId, Revision>,
+        owned: &BTreeMap<ShardId, Revision>,
+        revision: Revision,
+    ) {
+        let read_age_ms = self.replica.staleness().as_millis() as u64;
+        for (shard, token) in owned {
+            if before.get(shard) != Some(token) {
+                tracing::info!(
+                    shard = &**shard,
+                    token,
+                    revision,
+                    read_age_ms,
+                    "shard owned"
+                );
+            }
+        }
+        for (shard, token) in before {
+            if !owned.contains_key(shard) {
+                tracing::info!(
+                    shard = &**shard,
+                    token,
+                    revision,
+                    read_age_ms,
+                    "shard not owned"
+                );
+            }
+        }
+    }
+
     fn add_due_machines(
         &self,
         state: &ClusterState,
@@ -183,7 +233,8 @@
             .map(|owned| (owned.shard.clone(), owned.token))
             .collect();
         let timing = &self.context.timing;
-        let mut mutations = outcomes(&state, &mut sessions, &owned, changed, timing);
+        let events = self.workers.events();
+        let mut mutations = outcomes(&state, &mut sessions, &owned, changed, timing, events);
         mutations.extend(placements(&self.context, &state, &owned));
         mutations
     }
--- a/crates/rushwalk/src/workers/commands.rs
+++ b/crates/rushwalk/src/workers/commands.rs
@@ -121,7 +121,11 @@
 }
 
 /// Whether the state places a reported attempt on the machine.
-fn is_wanted(state: &ClusterState, machine: &MachineId, reported: &ReportedTask) -> bool {
+pub(crate) fn is_wanted(
+    state: &ClusterState,
+    machine: &MachineId,
+    reported: &ReportedTask,
+) -> bool {
     let Some(AssignedTask { task, .. }) = state.task(&reported.task) else {
         return false;
     };
--- a/crates/rushwalk/src/workers/heartbeats.rs
+++ b/crates/rushwalk/src/workers/heartbeats.rs
@@ -6,6 +6,7 @@
 use super::session::HeartbeatOrigin;
 use crate::clock::now_ms;
 use crate::context::Context;
+use crate::observability::worker_events::SentCommands;
 use crate::peers::PeerMonitor;
 use crate::store::Replica;
 use rushwalk_protocol::worker::{Heartbeat, HeartbeatResponse};
@@ -75,6 +76,14 @@
         }
         let start = commands.iter().find_map(start_of);
         session.record_response(heartbeat, is_newer, token, start);
+        self.workers.events().commands_sent(SentCommands {
+            machine,
+            token,
+            session: heartbeat.session,
+            commands: &commands,
+            revision: state.revision,
+            read_age: self.replica.staleness(),
+        });
         HeartbeatReply::Accepted(HeartbeatResponse { token, commands })
     }
 
--- a/crates/rushwalk/src/workers/registry.rs
+++ b/crates/rushwalk/src/workers/registry.rs
@@ -1,6 +1,7 @@
 //! The sessions of all workers that this process has contact with or is responsible for.
 
 use super::session::WorkerSession;
+use crate::observability::worker_events::WorkerEvents;
 use crate::timing::Timing;
 use parking_lot::{Mutex, MutexGuard};
 use rushwalk_failure_detector::reachability::{ShardReception, next_heartbeat_due_s};
@@ -120,6 +121,7 @@
 pub struct WorkerRegistry {
     timing: Timing,
     sessions: Mutex<Sessions>,
+    events: WorkerEvents,
 }
 
 impl WorkerRegistry {
@@ -128,9 +130,15 @@
         WorkerRegistry {
             timing,
             sessions: Mutex::default(),
+            events: WorkerEvents::default(),
         }
     }
 
+    /// The log lines and figures about workers.
+    pub(crate) fn events(&self) -> &WorkerEvents {
+        &self.events
+    }
+
     /// Locks the sessions. Code that also locks the cluster's state must lock the state first.
     pub fn sessions(&self) -> MutexGuard<'_, Sessions> {
         self.sessions.lock()
--- a/crates/simulator/tests/command_copies.rs
+++ b/crates/simulator/tests/command_copies.rs
@@ -145,14 +145,14 @@
     assert_copies_start_nothing(&cluster).await;
 }
 
-/// The copies are held back while the machines are suspended or partitioned, for shorter and for
-/// longer than a worker lease and the deadline of a cancellation.
+/// The copies are held back while the machines are suspended or partitioned: for a second, and for
+/// shorter and for longer than a worker lease and the deadline of a cancellation.
 #[tokio::test(start_paused = true)]
 async fn copy_held_back_on_its_way_to_a_machine_starts_no_cancelled_task() {
     let faults: [MachineFault; 2] = [Fault::MachineFrozen, Fault::MachinePartitioned];
     for (fault, (seed, held_s)) in faults
         .into_iter()
-        .flat_map(|f| [(f, (408, 25)), (f, (409, 75))])
+        .flat_map(|f| [(f, (407, 1)), (f, (408, 25)), (f, (409, 75))])
     {
         let mut cluster = recording_cluster(seed).await;
         // Keeps the machines in use.
