--- a/crates/rushwalk/src/capacity/inventory.rs
+++ b/crates/rushwalk/src/capacity/inventory.rs
@@ -90,7 +90,10 @@
             if state.machine_types.as_deref() == Some(&types) {
                 return true;
             }
-            version.transaction().put(keys::MACHINE_TYPES, &types)
+            version
+                .transaction()
+                .expect_version(keys::MACHINE_TYPES, state.key_version(keys::MACHINE_TYPES))
+                .put(keys::MACHINE_TYPES, &types)
         };
         self.parts
             .leadership
--- a/crates/rushwalk/src/leadership/snapshot_writer.rs
+++ b/crates/rushwalk/src/leadership/snapshot_writer.rs
@@ -158,8 +158,12 @@
                 })
             {
                 bytes += text.len();
+                let key = keys::snapshot_chunk(draft.manifest.generation, index);
+                // A copy of a chunk of two generations before fails on this condition.
+                transaction =
+                    transaction.expect_version(&key, self.replica.state().key_version(&key));
                 transaction.writes.push(Write {
-                    put: Some(keys::snapshot_chunk(draft.manifest.generation, index)),
+                    put: Some(key),
                     value: codec::frame(draft.manifest.revision, text),
                     ..Write::default()
                 });
--- a/crates/simulator/tests/cluster/snapshots.rs
+++ b/crates/simulator/tests/cluster/snapshots.rs
@@ -69,14 +69,19 @@
 /// Submits small jobs until a snapshot is written that covers the present state. A snapshot may
 /// have been begun before, so the second one counts.
 async fn write_snapshot(cluster: &mut SimulatedCluster, jobs: SmallJobs) {
+    write_snapshots(cluster, jobs, 2).await;
+}
+
+/// Submits small jobs until `count` snapshots are written.
+async fn write_snapshots(cluster: &mut SimulatedCluster, jobs: SmallJobs, count: u64) {
     let generation = snapshot_generation(cluster);
     let mut waited_s = 0;
-    while snapshot_generation(cluster) < generation + 2 {
+    while snapshot_generation(cluster) < generation + count {
         let first = jobs.first + waited_s * jobs.per_s;
         waited_s += 1;
         assert!(
             waited_s < jobs.max_s,
-            "fewer than two snapshots were written"
+            "fewer than {count} snapshots were written"
         );
         for number in first..first + jobs.per_s {
             cluster.submit(number, "sweep", 1, 0.0, 1.0).await;
@@ -108,6 +113,24 @@
     codec::frame(previous_version, &packed.concat()).unwrap()
 }
 
+/// The copy arrives two snapshots later, which reuses the keys, while the same controller leads.
+#[tokio::test(start_paused = true)]
+async fn a_late_copy_of_a_snapshot_chunk_does_not_corrupt_a_later_snapshot() {
+    let mut cluster = cluster(36);
+    let service = format!("j-{SERVICE:06}");
+    cluster.submit(SERVICE, "standing", 1, 1.0, 0.0).await;
+    cluster.run_for(20).await;
+    cluster.platform.keep_next_commit("\"w/s/");
+    let jobs = SmallJobs {
+        first: 1_000,
+        per_s: 1,
+        max_s: 400,
+    };
+    write_snapshots(&mut cluster, jobs, 3).await;
+    assert!(cluster.platform.replay_kept_commit());
+    assert_outlives_a_crash_of_all(&mut cluster, &service).await;
+}
+
 /// A controller that started from the snapshot did not know the machine, so placements there had
 /// no effect on its state. Once it owned the machine's shard, it started the tasks again on
 /// another machine while they ran.
--- a/crates/state/src/cluster_state.rs
+++ b/crates/state/src/cluster_state.rs
@@ -175,7 +175,7 @@
     /// The revision at which each member last wrote its member record or a log entry, by
     /// member name. Log entries count only if a watch returned them, not a listing.
     pub last_writes: BTreeMap<String, Revision>,
-    /// Versions of all keys outside the log, except snapshot chunks.
+    /// Versions of all keys outside the log.
     key_versions: HashMap<String, Revision>,
     /// Versions of the keys of log entries.
     pub(crate) log_versions: HashMap<String, Revision>,
--- a/crates/state/src/cluster_state/queries.rs
+++ b/crates/state/src/cluster_state/queries.rs
@@ -48,8 +48,7 @@
         self.image_ids.get(name).copied().unwrap_or(next_id)
     }
 
-    /// The version of a key that is neither a log entry nor a snapshot chunk; 0 if the key
-    /// does not exist.
+    /// The version of a key that is not a log entry; 0 if the key does not exist.
     pub fn key_version(&self, key: &str) -> Revision {
         self.key_versions.get(key).copied().unwrap_or(0)
     }
--- a/crates/state/src/cluster_state/replication.rs
+++ b/crates/state/src/cluster_state/replication.rs
@@ -54,6 +54,7 @@
             match KeyKind::of(&entry.key) {
                 Some(KeyKind::LogEntry { .. }) => log_entries.push(entry),
                 Some(KeyKind::SnapshotChunk) => {
+                    state.key_versions.insert(entry.key.clone(), entry.version);
                     chunks.insert(entry.key, entry.value);
                 }
                 _ => state.apply_put(entry.key, &entry.value, entry.version),
@@ -234,7 +235,7 @@
                 self.set_snapshot(manifest);
             }),
             // All changes in a snapshot's chunk were already applied from the log.
-            KeyKind::SnapshotChunk => return,
+            KeyKind::SnapshotChunk => Some(()),
             KeyKind::LogEntry { .. } | KeyKind::Unknown => None,
         };
         if applied.is_none() {
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -64,6 +64,11 @@
     status_requests: Mutex<Vec<Instant>>,
     /// Delays that a test has requested and no commit has matched yet.
     commit_delays: Mutex<Vec<CommitDelay>>,
+    /// A text for which the body of the next commit that contains it is kept; `None` if none is to
+    /// be kept.
+    commit_to_keep: Mutex<Option<String>>,
+    /// The body of the commit kept for [`SimulatedPlatform::replay_kept_commit`].
+    kept_commit: Mutex<Option<Vec<u8>>>,
     /// Bodies of the heartbeats sent while [`Fault::HeartbeatsRecorded`] was active.
     recorded_heartbeats: Mutex<Vec<Vec<u8>>>,
     /// The calls that workers executed while [`Fault::CommandsRecorded`] was active.
@@ -102,6 +107,8 @@
             rental_counts: Mutex::default(),
             status_requests: Mutex::default(),
             commit_delays: Mutex::default(),
+            commit_to_keep: Mutex::default(),
+            kept_commit: Mutex::default(),
             recorded_heartbeats: Mutex::default(),
             recorded_commands: Mutex::default(),
             machine_types: Mutex::new(vec![DEFAULT_MACHINE_TYPE]),
--- a/crates/testkit/src/platform/store_service.rs
+++ b/crates/testkit/src/platform/store_service.rs
@@ -125,6 +125,9 @@
             lock(&self.store).expire_leases();
         }
         let result = lock(&self.store).commit(&transaction);
+        if result.is_ok() {
+            self.keep_commit(body);
+        }
         self.record_event(|| {
             let body = String::from_utf8_lossy(body);
             let result = result.map_err(CommitError::status);
@@ -145,6 +148,34 @@
         }
     }
 
+    /// Keeps a copy of the next commit whose body contains `text`, once it has been carried out.
+    pub fn keep_next_commit(&self, text: &str) {
+        *lock(&self.commit_to_keep) = Some(text.into());
+    }
+
+    fn keep_commit(&self, body: &[u8]) {
+        let mut to_keep = lock(&self.commit_to_keep);
+        let text = to_keep.as_deref();
+        if text.is_some_and(|text| String::from_utf8_lossy(body).contains(text)) {
+            *lock(&self.kept_commit) = Some(body.to_vec());
+            *to_keep = None;
+        }
+    }
+
+    /// Carries out the kept copy of a commit once more, if its conditions still hold. Returns
+    /// whether a commit was kept.
+    pub fn replay_kept_commit(&self) -> bool {
+        let Some(body) = lock(&self.kept_commit).take() else {
+            return false;
+        };
+        if let Ok(transaction) = serde_json::from_slice::<Transaction>(&body) {
+            let result = lock(&self.store).commit(&transaction);
+            self.record_event(|| format!("copy of a commit: {result:?}"));
+            self.store_changed.notify_waiters();
+        }
+        true
+    }
+
     /// Whether a transaction exceeds a limit of the store; reported as a violation.
     fn exceeds_limit(&self, controller: usize, transaction: &Transaction, bytes: usize) -> bool {
         let limits = lock(&self.store).limits;
