--- a/crates/simulator/tests/command_copies.rs
+++ b/crates/simulator/tests/command_copies.rs
@@ -136,6 +136,20 @@
     }
 }
 
+/// The copy arrives after the deadline of the cancellation.
+#[tokio::test(start_paused = true)]
+async fn late_copy_of_a_start_starts_no_cancelled_task() {
+    let mut cluster = recording_cluster(420).await;
+    // Keeps the machines in use.
+    cluster.submit(90, "standing", 2, 3.0, 0.0).await;
+    cluster.run_for(12).await;
+    let job = cluster.submit(1, "standing", 2, 1.0, 0.0).await;
+    cluster.run_for(10).await;
+    cluster.cancel(&job).await;
+    cluster.run_for(70).await;
+    assert_copies_start_nothing(&cluster).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn copy_of_a_start_starts_no_completed_task() {
     let mut cluster = recording_cluster(407).await;
