Submissions: check sizes without an error that nobody reads; shorter heartbeat handler

LogWriter::fits_value returns whether a mutation fits in place of an error that its only caller dropped. The ids of all shards are copied only for gangs, not for each submission, and the tasks of the largest assignment of a gang share one empty placement hint. HeartbeatHandler::handle is split.

--- a/crates/rushwalk/src/http/submission_size.rs
+++ b/crates/rushwalk/src/http/submission_size.rs
@@ -1,8 +1,7 @@
 //! Checks that everything which must be stored of a submitted job at once can be stored.
 
 use crate::scheduling::largest_gang_assignment;
-use crate::store::LogWriter;
-use rushwalk_protocol::ids::ShardId;
+use crate::store::{LogWriter, Replica};
 use rushwalk_protocol::jobs::{JobSpec, Shape};
 use rushwalk_state::mutation::SubmitJob;
 use rushwalk_state::{Mutation, UnixMillis};
@@ -28,17 +27,20 @@
 pub(super) fn check_size(
     spec: &JobSpec,
     log: &LogWriter,
-    shards: Vec<ShardId>,
+    replica: &Replica,
 ) -> Result<(), SubmissionTooLarge> {
     let submit = Mutation::Submit(SubmitJob {
         spec: Arc::new(spec.clone()),
         accepted_ms: UnixMillis::MAX,
     });
-    log.check_size(&submit)
-        .map_err(|_| SubmissionTooLarge::Lists)?;
+    if !log.fits_value(&submit) {
+        return Err(SubmissionTooLarge::Lists);
+    }
     if spec.shape == Shape::Gang {
-        log.check_size(&largest_gang_assignment(spec, shards))
-            .map_err(|_| SubmissionTooLarge::Gang(spec.tasks))?;
+        let shards = replica.state().shards.keys().cloned().collect();
+        if !log.fits_value(&largest_gang_assignment(spec, shards)) {
+            return Err(SubmissionTooLarge::Gang(spec.tasks));
+        }
     }
     Ok(())
 }
--- a/crates/rushwalk/src/http/user_requests.rs
+++ b/crates/rushwalk/src/http/user_requests.rs
@@ -257,8 +257,7 @@
         let site = &self.context.settings.site;
         check_satisfiable(&spec, &site.teams, &types.types, &site.zones)
             .map_err(rejected_with(StatusCode::UNPROCESSABLE_ENTITY))?;
-        let shards = self.replica.state().shards.keys().cloned().collect();
-        check_size(&spec, &self.log, shards)
+        check_size(&spec, &self.log, &self.replica)
             .map_err(rejected_with(StatusCode::UNPROCESSABLE_ENTITY))?;
         Ok(spec)
     }
--- a/crates/rushwalk/src/scheduling/assignment.rs
+++ b/crates/rushwalk/src/scheduling/assignment.rs
@@ -231,10 +231,11 @@
         });
     }
     let shard_count = by_shard.len();
+    let no_hint = MachineId::from(NO_HINT);
     for task in 0..spec.tasks {
         let task_on_machine = TaskOnMachine {
             task,
-            machine: NO_HINT.into(),
+            machine: no_hint.clone(),
         };
         by_shard[task as usize % shard_count]
             .tasks
--- a/crates/rushwalk/src/store/log_writer.rs
+++ b/crates/rushwalk/src/store/log_writer.rs
@@ -34,11 +34,6 @@
     pub version: Revision,
 }
 
-/// A mutation does not fit into one value of the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("it exceeds the size limit of a value of the store")]
-pub struct ExceedsValue;
-
 /// Appends mutations to this controller's part of the log.
 pub struct LogWriter {
     context: Arc<Context>,
@@ -74,16 +69,9 @@
         (value_kb.clamp(1.0, MAX_VALUE_KB) * 1024.0) as usize - FRAME_BYTES
     }
 
-    /// Checks that a mutation that can't be split fits into one value of the store.
-    ///
-    /// # Errors
-    ///
-    /// [`ExceedsValue`] if it does not.
-    pub fn check_size(&self, mutation: &Mutation) -> Result<(), ExceedsValue> {
-        if codec::packed_size(mutation) > self.max_packed_bytes() {
-            return Err(ExceedsValue);
-        }
-        Ok(())
+    /// Whether a mutation that can't be split fits into one value of the store.
+    pub fn fits_value(&self, mutation: &Mutation) -> bool {
+        codec::packed_size(mutation) <= self.max_packed_bytes()
     }
 
     /// Appends mutations to the log if the preconditions hold, and waits until the replica has
--- a/crates/rushwalk/src/workers/heartbeats.rs
+++ b/crates/rushwalk/src/workers/heartbeats.rs
@@ -3,14 +3,15 @@
 
 use super::commands::{commands, start_of};
 use super::registry::WorkerRegistry;
-use super::session::HeartbeatOrigin;
+use super::session::{HeartbeatOrigin, WorkerSession};
 use crate::clock::now_ms;
 use crate::context::Context;
 use crate::observability::worker_events::SentCommands;
 use crate::peers::PeerMonitor;
 use crate::store::Replica;
+use rushwalk_protocol::ids::MachineId;
 use rushwalk_protocol::worker::{Heartbeat, HeartbeatResponse};
-use rushwalk_state::{ClusterState, MachineState};
+use rushwalk_state::{ClusterState, MachineState, Revision};
 use std::sync::Arc;
 
 /// The answer to a worker's heartbeat.
@@ -63,11 +64,32 @@
         sessions.changed.insert(machine.clone());
         sessions.record_contact(shard);
         let session = sessions.session_mut(machine);
+        let response = self.respond(&state, session, machine, heartbeat, token);
+        self.workers.events().commands_sent(SentCommands {
+            machine,
+            token,
+            session: heartbeat.session,
+            commands: &response.commands,
+            revision: state.revision,
+            read_age: self.replica.staleness(),
+        });
+        HeartbeatReply::Accepted(response)
+    }
+
+    /// Applies a heartbeat to the worker's session, and builds the response under `token`.
+    fn respond(
+        &self,
+        state: &ClusterState,
+        session: &mut WorkerSession,
+        machine: &MachineId,
+        heartbeat: &Heartbeat,
+        token: Revision,
+    ) -> HeartbeatResponse {
         let is_newer = session.receive(heartbeat, token, &self.context.timing);
         // A heartbeat that is not the newest is answered, but without commands, as it shows an
         // outdated state of the machine.
         let mut commands = if session.is_newest(heartbeat) && session.call_in_flight.is_none() {
-            commands(&state, session, machine, token)
+            commands(state, session, machine, token)
         } else {
             Vec::new()
         };
@@ -76,15 +98,7 @@
         }
         let start = commands.iter().find_map(start_of);
         session.record_response(heartbeat, is_newer, token, start);
-        self.workers.events().commands_sent(SentCommands {
-            machine,
-            token,
-            session: heartbeat.session,
-            commands: &commands,
-            revision: state.revision,
-            read_age: self.replica.staleness(),
-        });
-        HeartbeatReply::Accepted(HeartbeatResponse { token, commands })
+        HeartbeatResponse { token, commands }
     }
 
     /// The reply to a worker whose shard this process does not own.
