Scheduling: a test that many short tasks keep heartbeats within their limit

An array of 4,000 tasks of 2 s, 256 at once on a machine, with the store down for 50 s: the exited attempts that workers keep must neither exceed the limit of a heartbeat nor stop the array.

--- a/crates/simulator/tests/cluster/scheduling.rs
+++ b/crates/simulator/tests/cluster/scheduling.rs
@@ -165,3 +165,19 @@
     cluster.wait_until_done(&[array], 240).await;
     cluster.assert_invariants();
 }
+
+/// Exited attempts that a worker has to keep fill its heartbeats, also while the store is down and
+/// the token of the shard can't be advanced.
+#[tokio::test(start_paused = true)]
+async fn many_short_tasks_keep_heartbeats_within_their_limit_also_in_an_outage() {
+    let mut cluster = SimulatedCluster::warmed_up(ClusterConfig::default(), 18).await;
+    let fields = json!({"cpus": 0.004, "memoryGb": 0.01});
+    let array = cluster.submit_with(1, "sweep", 4_000, 0.0, 2.0, fields);
+    let array = array.await;
+    cluster.run_for(12).await;
+    cluster.platform.inject(Fault::StoreOutage);
+    cluster.run_for(50).await;
+    cluster.platform.clear(Fault::StoreOutage);
+    cluster.wait_until_done(&[array], 240).await;
+    cluster.assert_invariants();
+}
