Workers: one way to name a start, and no kinds of calls that nothing reads

Found on rereading the change. SentStart and start_of were twins of AttemptId and started_attempt; one of each is left, and commands are filtered by is_start without copying the task's name. The two kinds of CallInFlight were told apart by nothing since the starts in flight are recorded with their attempts, so call_in_flight is a flag. fencing_reason decides in three plain steps, the same ones.

The tests keep their assertions.

--- a/crates/rushwalk/src/shards/dispatch.rs
+++ b/crates/rushwalk/src/shards/dispatch.rs
@@ -11,7 +11,7 @@
 use crate::timing::Timing;
 use crate::workers::commands::commands;
 use crate::workers::registry::{Ownership, Sessions};
-use crate::workers::session::{CallDelivery, CallInFlight, HeartbeatOrigin};
+use crate::workers::session::{CallDelivery, HeartbeatOrigin};
 use crate::workers::{WorkerRegistry, WorkerSession};
 use rushwalk_clients::Error;
 use rushwalk_clients::workers::{CommandResponse, WorkerClient};
@@ -179,7 +179,7 @@
         if session.owned.is_none_or(|owned| owned.token != token) {
             session.owned = Some(Ownership::new(token));
         }
-        if session.call_in_flight.is_some() {
+        if session.call_in_flight {
             return Action::Nothing;
         }
         let timing = &self.context.timing;
@@ -265,7 +265,7 @@
 fn finish_call<'a>(sessions: &'a mut Sessions, call: &WorkerCall) -> &'a mut WorkerSession {
     sessions.changed.insert(call.machine.clone());
     let session = sessions.session_mut(&call.machine);
-    session.call_in_flight = None;
+    session.call_in_flight = false;
     session
 }
 
@@ -305,7 +305,7 @@
         return Action::Retry;
     }
     session.last_probe = Some(Instant::now());
-    session.call_in_flight = Some(CallInFlight::Probe);
+    session.call_in_flight = true;
     Action::Probe(worker_call(session, id, machine))
 }
 
@@ -330,7 +330,7 @@
         return Action::Nothing;
     }
     session.last_command = Some(Instant::now());
-    session.call_in_flight = Some(CallInFlight::Commands);
+    session.call_in_flight = true;
     let batch = CommandBatch {
         token,
         session: session.session,
--- a/crates/rushwalk/src/shards/fencing.rs
+++ b/crates/rushwalk/src/shards/fencing.rs
@@ -153,9 +153,9 @@
 
 /// Why the token of a machine's shard is to be advanced; `None` if it needs not be. There is no
 /// need if the machine is being deleted or is unreachable: the deletion ends its tasks, and on an
-/// unreachable machine they end with its worker lease. An unresolved start matters only if a task is
-/// placed there whose absence may have to be proved. `kept` is the number of exited attempts that
-/// the worker has to keep.
+/// unreachable machine they end with its worker lease. An unresolved start alone needs none if no
+/// task is placed there, because no absence must be proved then. `kept` is the number of exited
+/// attempts that the worker has to keep.
 fn fencing_reason(
     machine: &MachineState,
     session: &WorkerSession,
@@ -166,13 +166,12 @@
     if record.unreachable_since_ms.is_some() || record.lifecycle == MachineLifecycle::Deleting {
         return None;
     }
-    match kept {
-        0 if machine.tasks.is_empty() => None,
-        0 => session
-            .has_unresolved_start(token)
-            .then_some(FencingReason::UnresolvedStart),
-        _ if kept >= MANY_KEPT_ATTEMPTS => Some(FencingReason::ManyKeptAttempts),
-        _ if session.has_unresolved_start(token) => Some(FencingReason::UnresolvedStart),
-        _ => Some(FencingReason::KeptAttempts),
+    let has_unresolved_start = session.has_unresolved_start(token);
+    if kept >= MANY_KEPT_ATTEMPTS {
+        Some(FencingReason::ManyKeptAttempts)
+    } else if has_unresolved_start && (kept > 0 || !machine.tasks.is_empty()) {
+        Some(FencingReason::UnresolvedStart)
+    } else {
+        (kept > 0).then_some(FencingReason::KeptAttempts)
     }
 }
--- a/crates/rushwalk/src/shards/outcomes.rs
+++ b/crates/rushwalk/src/shards/outcomes.rs
@@ -109,7 +109,7 @@
             // renew its lease.
             let is_confirmed = has_loss || session.last_probe.is_some_and(|at| at > last);
             let is_recorded = self.machine.record.unreachable_since_ms.is_some();
-            if !is_recorded && is_confirmed && session.call_in_flight.is_none() {
+            if !is_recorded && is_confirmed && !session.call_in_flight {
                 if !std::mem::replace(&mut session.unreachable_logged, true) {
                     tracing::info!(machine = &**self.id, "machine unreachable");
                 }
@@ -156,8 +156,8 @@
         }
     }
 
-    /// Logs the attempts on the machine that the state does not place there, once for each
-    /// heartbeat.
+    /// Logs the attempts on the machine that the state does not place there, each time that the
+    /// machine is examined.
     fn log_unplaced_attempts(&self, session: &WorkerSession) {
         let is_unplaced = |reported: &&ReportedTask| {
             reported.status.phase != TaskPhase::Exited && !is_wanted(self.state, self.id, reported)
--- a/crates/rushwalk/src/workers/commands.rs
+++ b/crates/rushwalk/src/workers/commands.rs
@@ -4,7 +4,7 @@
 #[cfg(test)]
 mod tests;
 
-use super::session::{ReportedTask, SentStart, WorkerSession};
+use super::session::{ReportedTask, WorkerSession};
 use rushwalk_protocol::MAX_BODY;
 use rushwalk_protocol::ids::{AttemptId, MachineId, TaskId};
 use rushwalk_protocol::worker::{Command, TaskPhase, TaskStatus};
@@ -51,7 +51,7 @@
         }
     }
     let mut free_entries = MAX_REPORTED_TASKS.saturating_sub(session.tasks.len());
-    commands.retain(|command| start_of(command).is_none() || take_one(&mut free_entries));
+    commands.retain(|command| !is_start(command) || take_one(&mut free_entries));
     commands.truncate(MAX_COMMANDS);
     commands
 }
@@ -63,15 +63,9 @@
     is_free
 }
 
-/// The start in a command; `None` for commands of another kind.
-pub(crate) fn start_of(command: &Command) -> Option<SentStart> {
-    match command {
-        Command::Run { task, attempt } => Some(SentStart {
-            task: task.clone(),
-            attempt: *attempt,
-        }),
-        _ => None,
-    }
+/// Whether a command starts a task.
+pub(crate) fn is_start(command: &Command) -> bool {
+    matches!(command, Command::Run { .. })
 }
 
 /// The command for a task that is placed on the machine.
--- a/crates/rushwalk/src/workers/commands/tests.rs
+++ b/crates/rushwalk/src/workers/commands/tests.rs
@@ -105,7 +105,7 @@
         let mut session = WorkerSession::default();
         session.apply_heartbeat(&heartbeat, HeartbeatOrigin::Worker);
         let commands = commands(&state, &session, &machine, Revision::MAX);
-        let starts = commands.iter().filter(|c| start_of(c).is_some()).count();
+        let starts = commands.iter().filter(|c| is_start(c)).count();
         assert_eq!(starts, MAX_REPORTED_TASKS.saturating_sub(kept));
     }
     heartbeat.tasks.truncate(MAX_REPORTED_TASKS);
--- a/crates/rushwalk/src/workers/heartbeats.rs
+++ b/crates/rushwalk/src/workers/heartbeats.rs
@@ -1,9 +1,9 @@
 //! Handling of workers' heartbeats: the owner of a worker's shard answers with commands, other
 //! controllers redirect the worker to the owner.
 
-use super::commands::{commands, start_of};
+use super::commands::{commands, is_start};
 use super::registry::WorkerRegistry;
-use super::session::{HeartbeatOrigin, WorkerSession};
+use super::session::{HeartbeatOrigin, WorkerSession, started_attempt};
 use crate::clock::now_ms;
 use crate::context::Context;
 use crate::observability::worker_events::SentCommands;
@@ -88,15 +88,15 @@
         let is_newer = session.receive(heartbeat, token, &self.context.timing);
         // A heartbeat that is not the newest is answered, but without commands, as it shows an
         // outdated state of the machine.
-        let mut commands = if session.is_newest(heartbeat) && session.call_in_flight.is_none() {
+        let mut commands = if session.is_newest(heartbeat) && !session.call_in_flight {
             commands(state, session, machine, token)
         } else {
             Vec::new()
         };
         if session.withhold_starts() {
-            commands.retain(|command| start_of(command).is_none());
+            commands.retain(|command| !is_start(command));
         }
-        let start = commands.iter().find_map(start_of);
+        let start = commands.iter().find_map(started_attempt);
         session.record_response(heartbeat, is_newer, token, start);
         HeartbeatResponse { token, commands }
     }
--- a/crates/rushwalk/src/workers/session.rs
+++ b/crates/rushwalk/src/workers/session.rs
@@ -5,13 +5,11 @@
 //! this controller's fencing token and does not list the task, or a worker lease that has
 //! certainly expired.
 
-mod calls;
 mod outstanding_starts;
 #[cfg(test)]
 mod tests;
 
-pub use calls::{CallInFlight, SentStart};
-pub use outstanding_starts::{CallDelivery, OutstandingStarts};
+pub use outstanding_starts::{CallDelivery, OutstandingStarts, started_attempt};
 
 use super::registry::Ownership;
 use crate::clock::now_ms;
@@ -48,7 +46,7 @@
     /// Worker session of the heartbeat.
     session: u64,
     /// The first start command in the response, if any.
-    start: Option<SentStart>,
+    start: Option<AttemptId>,
 }
 
 /// How a heartbeat was received.
@@ -85,8 +83,8 @@
     /// The starts that the worker may still accept. Until it refuses them, an attempt that is
     /// missing from the heartbeats may still start, and an exited one is not to be forgotten.
     pub starts: OutstandingStarts,
-    /// The call to the worker's own address that has not ended yet.
-    pub call_in_flight: Option<CallInFlight>,
+    /// Whether a call to the worker's own address has not ended yet.
+    pub call_in_flight: bool,
     /// Attempts whose end this controller has submitted to be committed. It never starts them
     /// again: a commit that was not answered may take effect late, and a task that was started
     /// again before its end was committed ran twice.
@@ -172,8 +170,9 @@
         }
         self.lease_renewed = self.lease_renewed.max(Some(response.sent));
         let started = response.start.as_ref().map(|start| {
+            let name = start.task.to_string();
             let mut tasks = heartbeat.tasks.iter();
-            tasks.any(|t| t.task == start.task && t.attempt == start.attempt)
+            tasks.any(|t| t.task == name && t.attempt == start.attempt)
         });
         // The same token or a higher one shows receipt only if the worker had a lower one before.
         // Otherwise only the started task shows it.
@@ -253,7 +252,7 @@
         heartbeat: &Heartbeat,
         is_newer: bool,
         token: Revision,
-        start: Option<SentStart>,
+        start: Option<AttemptId>,
     ) {
         if start.is_some() {
             self.starts.record_response(token, heartbeat.sequence);
--- a/crates/rushwalk/src/workers/session/outstanding_starts.rs
+++ b/crates/rushwalk/src/workers/session/outstanding_starts.rs
@@ -129,7 +129,7 @@
 }
 
 /// The attempt that a command starts; `None` for commands of another kind.
-fn started_attempt(command: &Command) -> Option<AttemptId> {
+pub fn started_attempt(command: &Command) -> Option<AttemptId> {
     match command {
         Command::Run { task, attempt } => Some(AttemptId {
             task: TaskId::parse(task)?,
--- a/crates/rushwalk/src/workers/session/tests.rs
+++ b/crates/rushwalk/src/workers/session/tests.rs
@@ -208,13 +208,9 @@
 #[tokio::test(start_paused = true)]
 async fn an_attempt_may_start_until_its_response_has_been_received_or_dropped() {
     let attempt = started_attempt();
-    let start = SentStart {
-        task: "j-1/0".into(),
-        attempt: 4,
-    };
     let mut session = owned_session(7);
     session.apply_heartbeat(&heartbeat(5, 7), HeartbeatOrigin::Worker);
-    session.record_response(&heartbeat(5, 7), true, 7, Some(start));
+    session.record_response(&heartbeat(5, 7), true, 7, Some(attempt.clone()));
     session.apply_heartbeat(&heartbeat(6, 7), HeartbeatOrigin::Call);
     assert!(!session.may_forget(&attempt, 7));
     assert!(!session.proves_absence(&attempt, 7));
