Review: a gang whose machines fetch at different rates is started over and over

A gang's machines fetch its image a third faster and a third slower; the first task exits alone, the fetch of the second is given up, and both begin anew.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 stage=target/review-2/release/rushwalk-review-2
 [ -x "$stage" ] || { echo "$stage is missing: run review/build-2.sh"; exit 2; }
-exec "$stage" no-capacity "$PWD" "$PWD/review/7"
+exec "$stage" gang-fetch "$PWD" "$PWD/review/7"
--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -30,6 +30,7 @@
         "four-errors" => four_errors(context),
         "no-capacity" => no_capacity(context),
         "mistakes" => mistakes(context),
+        "gang-fetch" => gang_fetch(context),
         "low-guess" => low_guess(context),
         _ => Err(format!("no case {case}")),
     }
@@ -52,6 +53,7 @@
         yard: zone.to_string(),
         loaners: false,
         count,
+        pull_factor: 1.0,
     });
     capacity.collect()
 }
@@ -86,7 +88,8 @@
     })
 }
 
-/// Whether a machine in a zone has room for a task of a job.
+/// Whether a machine that a job may use has room for a task or, if the job is a gang, as many
+/// machines as it has tasks.
 fn has_room(site: &Site, spec: &Value) -> bool {
     let amount = |name: &str| spec[name].as_f64().unwrap_or(0.0);
     let needs = [amount("cpus"), amount("gpus"), amount("memoryGb")];
@@ -95,11 +98,16 @@
             .zip(needs)
             .all(|(free, need)| need <= free + 1e-6)
     };
-    let machines = site.world.machines().into_iter();
     let zone = spec["yard"].as_str();
-    machines
+    let machines = site.world.machines().into_iter();
+    let with_room = machines
         .filter(|machine| zone.is_none_or(|zone| zone == machine.kind.yard))
-        .any(|machine| fits(machine.free()))
+        .filter(|machine| fits(machine.free()));
+    let needed = match spec["shape"].as_str() {
+        Some("gang") => spec["pieces"].as_u64().unwrap_or(1) as usize,
+        _ => 1,
+    };
+    with_room.count() >= needed
 }
 
 /// Watches a job with one task that waits: broken once it has waited for 90 s in one go while a
@@ -116,7 +124,11 @@
         let runs = site.world.runs_of(&job);
         let is_active =
             |run: &crate::world::Run| run.end.as_ref().is_none_or(|(_, why)| why == "done");
-        if runs.iter().any(is_active) {
+        let has_run = match spec["shape"].as_str() {
+            Some("gang") => site.world.gang_ran(&job),
+            _ => runs.iter().any(is_active),
+        };
+        if has_run {
             return Ok(Verdict::Held(format!(
                 "{job} ran; it had waited {longest_s:.0} s"
             )));
@@ -310,3 +322,44 @@
     site.submit(&waiting, Some(run_s))?;
     watch_waiting(&mut site, &waiting, 93.0)
 }
+
+/// The machines of a gang fetch its image at different rates.
+fn gang_fetch(context: &Context) -> Result<Verdict, String> {
+    let (fast, slow) = if context.trouble {
+        (4.0 / 3.0, 2.0 / 3.0)
+    } else {
+        (1.0, 1.0)
+    };
+    let one = |build: &str, zone: usize, pull_factor: f64| Capacity {
+        build: build.into(),
+        yard: ZONES[zone].into(),
+        loaners: false,
+        count: 1,
+        pull_factor,
+    };
+    let capacity = vec![one("towpath", 0, fast), one("lockkeeper", 2, slow)];
+    let mut plan = plan(35.0, capacity);
+    plan.types = json!([
+        {
+            "label": "lockkeeper", "cpus": 16.0, "gpus": 2.0, "memoryGb": 96.0, "localGb": 60.0,
+            "pullGbPerS": 0.4, "hourly": 5.41, "lowPrice": 2.02, "startupS": 35.0,
+            "yards": [ZONES[2]],
+        },
+        {
+            "label": "towpath", "cpus": 48.0, "gpus": 8.0, "memoryGb": 192.0, "localGb": 120.0,
+            "pullGbPerS": 0.6, "hourly": 27.29, "lowPrice": 10.78, "startupS": 50.0,
+            "yards": [ZONES[0]],
+        },
+    ]);
+    let mut site = start(&plan, context)?;
+    let mut gang = job("j-000101", "fitsim", "gang", "normal", 10.0);
+    gang["pieces"] = json!(2);
+    gang["spread"] = json!(true);
+    gang["kit"] = json!("img-19");
+    gang["sizeGb"] = json!(19.0);
+    site.submit(&gang, Some(10.0))?;
+    site.wait_for("both machines", Duration::from_secs(12), || {
+        site.world.machines().len() == 2
+    })?;
+    watch_waiting(&mut site, &gang, 100.0)
+}
--- a/review/standins-2/src/cloud.rs
+++ b/review/standins-2/src/cloud.rs
@@ -17,6 +17,8 @@
     pub yard: String,
     pub loaners: bool,
     pub count: usize,
+    /// The rate at which these machines fetch images, as a multiple of the nominal one.
+    pub pull_factor: f64,
 }
 
 struct Rig {
@@ -143,6 +145,9 @@
             .as_array()?
             .iter()
             .find(|t| t["label"] == build)?;
+        let mut capacity = self.capacity.iter();
+        let of_kind = capacity.find(|capacity| capacity.build == build && capacity.yard == yard);
+        let factor = of_kind.map_or(1.0, |capacity| capacity.pull_factor);
         let number = |name: &str| found[name].as_f64().unwrap_or(0.0);
         Some(Kind {
             build: build.to_string(),
@@ -151,7 +156,7 @@
             cpus: number("cpus"),
             gpus: number("gpus"),
             memory_gb: number("memoryGb"),
-            pull_gb_per_s: number("pullGbPerS"),
+            pull_gb_per_s: factor * number("pullGbPerS"),
         })
     }
 
--- a/review/standins-2/src/machine.rs
+++ b/review/standins-2/src/machine.rs
@@ -1,8 +1,8 @@
-//! A stand-in of a worker: it reports to the controllers, keeps a lease, and runs tasks. Tasks of
-//! gangs are not modelled.
+//! A stand-in of a worker: it reports to the controllers, keeps a lease, and runs tasks. A fetch is
+//! given up with its task. Tasks of gangs save no progress.
 
 use crate::http::{self, Reply, Request};
-use crate::world::World;
+use crate::world::{GangPhase, World};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,6 +13,8 @@
 
 const ANSWER_LIMIT: Duration = Duration::from_secs(4);
 const MIN_PAUSE: Duration = Duration::from_millis(500);
+/// `gang_wait_s` of the settings.
+const GANG_WAIT: Duration = Duration::from_secs(45);
 const TICK: Duration = Duration::from_millis(20);
 
 /// What a machine is, as the cloud has rented it.
@@ -30,6 +32,7 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Stance {
     Fetching,
+    Gathering,
     Running,
     Saving,
     Ended,
@@ -174,6 +177,7 @@
         let pieces = worker.pieces.iter().map(|((piece, attempt), state)| {
             let stance = match state.stance {
                 Stance::Fetching => "fetching",
+                Stance::Gathering => "gathering",
                 Stance::Running => "running",
                 Stance::Saving => "saving",
                 Stance::Ended => "ended",
@@ -295,7 +299,8 @@
     }
 
     fn end(&self, piece: &mut Piece, key: &PieceKey, cause: &'static str) {
-        if matches!(piece.stance, Stance::Running | Stance::Saving) {
+        if !matches!(piece.stance, Stance::Fetching | Stance::Ended) {
+            self.world.gang_left(key, cause == "done");
             self.world.piece_ended(&key.0, &self.rig, cause);
         }
         piece.stance = Stance::Ended;
@@ -342,14 +347,22 @@
                 Stance::Fetching => {
                     let spec = self.world.spec_of_piece(&key.0).unwrap_or(Value::Null);
                     images.push(spec["kit"].as_str().unwrap_or("").to_string());
-                    piece.stance = Stance::Running;
                     self.world.piece_started(&key.0, self);
+                    if spec["shape"] == "gang" {
+                        piece.stance = Stance::Gathering;
+                        piece.until = Some(now + GANG_WAIT);
+                        self.world
+                            .gang_joined(key, spec["pieces"].as_u64().unwrap_or(1));
+                        continue;
+                    }
+                    piece.stance = Stance::Running;
                     let run_s = self.world.run_s(&key.0);
                     piece.until = run_s.map(|s| now + Duration::from_secs_f64(s));
                     if self.world.fails(&key.0, &self.rig) {
                         self.end(piece, key, "error");
                     }
                 }
+                Stance::Gathering => self.end(piece, key, "alone"),
                 Stance::Saving => {
                     piece.stored = true;
                     self.end(piece, key, "stopped");
@@ -357,10 +370,34 @@
                 _ => self.end(piece, key, "done"),
             }
         }
+        for (key, piece) in &mut worker.pieces {
+            changed |= self.follow_gang(key, piece);
+        }
         worker.images.extend(images);
         worker.changed |= changed;
     }
 
+    /// Starts or ends a task with the others of its gang. Returns whether it did.
+    fn follow_gang(&self, key: &PieceKey, piece: &mut Piece) -> bool {
+        match (piece.stance, self.world.gang_phase(key)) {
+            (Stance::Gathering, GangPhase::Runs) => {
+                piece.stance = Stance::Running;
+                let run_s = self.world.run_s(&key.0);
+                piece.until = run_s.map(|s| Instant::now() + Duration::from_secs_f64(s));
+                true
+            }
+            (Stance::Running, GangPhase::Done) => {
+                self.end(piece, key, "done");
+                true
+            }
+            (Stance::Running, GangPhase::Broken) => {
+                self.end(piece, key, "peers");
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Reports to one controller at a time.
     fn report_loop(&self) {
         let mut node = self.world.first_node(&self.rig);
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -13,13 +13,29 @@
 pub struct Run {
     pub piece: String,
     pub rig: String,
-    pub from_s: f64,
     /// When it left the machine, and why; `None` while it is on it.
     pub end: Option<(f64, String)>,
 }
 
+/// How far the tasks of one attempt of a gang are.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum GangPhase {
+    Gathers,
+    Runs,
+    Done,
+    /// A task of the running gang has left its machine.
+    Broken,
+}
+
+struct Gang {
+    /// The tasks that wait for the others.
+    joined: BTreeSet<String>,
+    phase: GangPhase,
+}
+
 #[derive(Default)]
 struct Shared {
+    gangs: BTreeMap<(String, u64), Gang>,
     specs: BTreeMap<String, Value>,
     run_s: BTreeMap<String, f64>,
     /// Pieces whose next start on the machine fails, with the machine.
@@ -128,7 +144,6 @@
         let run = Run {
             piece: piece.to_string(),
             rig: rig.clone(),
-            from_s: self.record.now_s(),
             end: None,
         };
         self.shared.lock().unwrap().runs.push(run);
@@ -146,6 +161,52 @@
         }
     }
 
+    /// A task has its image and waits for the others of its attempt.
+    pub fn gang_joined(&self, (piece, attempt): &(String, u64), size: u64) {
+        let mut shared = self.shared.lock().unwrap();
+        let key = (job_of(piece).to_string(), *attempt);
+        let new = Gang {
+            joined: BTreeSet::new(),
+            phase: GangPhase::Gathers,
+        };
+        let gang = shared.gangs.entry(key).or_insert(new);
+        gang.joined.insert(piece.clone());
+        if gang.phase == GangPhase::Gathers && gang.joined.len() as u64 == size {
+            gang.phase = GangPhase::Runs;
+            self.record
+                .line(&format!("RUN {} runs with all its tasks", job_of(piece)));
+        }
+    }
+
+    /// A task of a gang has left its machine.
+    pub fn gang_left(&self, (piece, attempt): &(String, u64), done: bool) {
+        let mut shared = self.shared.lock().unwrap();
+        let key = (job_of(piece).to_string(), *attempt);
+        if let Some(gang) = shared.gangs.get_mut(&key) {
+            gang.joined.remove(piece);
+            if gang.phase == GangPhase::Runs {
+                gang.phase = if done {
+                    GangPhase::Done
+                } else {
+                    GangPhase::Broken
+                };
+            }
+        }
+    }
+
+    pub fn gang_phase(&self, (piece, attempt): &(String, u64)) -> GangPhase {
+        let shared = self.shared.lock().unwrap();
+        let gang = shared.gangs.get(&(job_of(piece).to_string(), *attempt));
+        gang.map_or(GangPhase::Gathers, |gang| gang.phase)
+    }
+
+    /// Whether all tasks of any attempt of a gang have run together.
+    pub fn gang_ran(&self, job: &str) -> bool {
+        let shared = self.shared.lock().unwrap();
+        let mut gangs = shared.gangs.iter().filter(|((known, _), _)| known == job);
+        gangs.any(|(_, gang)| gang.phase != GangPhase::Gathers)
+    }
+
     /// All starts so far.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.lock().unwrap().runs.clone()
